--- /dev/null
+++ b/cmd/lilacrill/engine.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lilacrill/internal/cloud"
+	"lilacrill/internal/config"
+	"lilacrill/internal/core"
+	"lilacrill/internal/peer"
+	"lilacrill/internal/server"
+	"lilacrill/internal/statestore"
+	"lilacrill/internal/worker"
+	"lilacrill/wire"
+)
+
+// engine owns the core: one goroutine feeds it and carries out what it wants.
+type engine struct {
+	set   *config.Settings
+	log   *slog.Logger
+	core  *core.Core
+	start time.Time
+
+	inbox   chan envelope
+	results chan core.Input
+	replies map[core.RequestID]chan core.Reply
+	last    atomic.Uint64
+	stepped atomic.Int64 // when the core last took a step, since start
+	healthy atomic.Bool
+
+	state   *statestore.Client
+	cloud   *cloud.Client
+	workers *worker.Client
+	mesh    *peer.Mesh
+}
+
+// envelope is a request's input with where its reply goes.
+type envelope struct {
+	input core.Input
+	id    core.RequestID
+	reply chan core.Reply
+}
+
+const (
+	tickEvery    = 50 * time.Millisecond
+	inboxSize    = 512
+	resultsSize  = 4096
+	stalled      = time.Second
+	memoryShare  = 0.7 // of the limit, for what Go counts; stacks and the rest need some too
+	gcPercent    = 200
+	megabyte     = 1 << 20
+	minimumProcs = 1
+)
+
+func newEngine(set *config.Settings, log *slog.Logger) *engine {
+	debug.SetMemoryLimit(int64(set.Cluster.Quota.MemMB * memoryShare * megabyte))
+	debug.SetGCPercent(gcPercent)
+	runtime.GOMAXPROCS(max(minimumProcs, int(math.Ceil(set.Cluster.Quota.CoreShare))))
+	return &engine{
+		set:     set,
+		log:     log,
+		core:    core.New(set, log, rand.Uint64()),
+		start:   time.Now(),
+		inbox:   make(chan envelope, inboxSize),
+		results: make(chan core.Input, resultsSize),
+		replies: map[core.RequestID]chan core.Reply{},
+		state:   statestore.New(set, log),
+		cloud:   cloud.New(set, log),
+		workers: worker.New(log),
+		mesh:    peer.New(set, log),
+	}
+}
+
+// Ask implements server.Backend.
+func (e *engine) Ask(makeInput func(core.RequestID) core.Input) (<-chan core.Reply, bool) {
+	id := core.RequestID(e.last.Add(1))
+	env := envelope{input: makeInput(id), id: id, reply: make(chan core.Reply, 1)}
+	select {
+	case e.inbox <- env:
+		return env.reply, true
+	default:
+		return nil, false
+	}
+}
+
+// Healthy implements server.Backend.
+func (e *engine) Healthy() bool {
+	return e.healthy.Load() && time.Since(e.start)-time.Duration(e.stepped.Load()) < stalled
+}
+
+// run serves until ctx ends or a listener fails.
+func (e *engine) run(ctx context.Context) error {
+	public, err := net.Listen("tcp4", e.set.PublicAddr)
+	if err != nil {
+		return fmt.Errorf("public_addr: %w", err)
+	}
+	peers, err := net.Listen("tcp4", e.set.PeerListen)
+	if err != nil {
+		public.Close()
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		<-ctx.Done()
+		return errors.Join(public.Close(), peers.Close())
+	})
+	g.Go(func() error { return server.New(e.set, e, e.log).Serve(public) })
+	g.Go(func() error {
+		return e.mesh.Serve(peers, func(l *wire.PeerLine) { e.offer(core.PeerSaid{Line: l}) })
+	})
+	g.Go(func() error { e.mesh.Send(ctx); return nil })
+	g.Go(func() error { e.state.Serve(ctx.Done()); return nil })
+	g.Go(func() error { e.loop(ctx); return nil })
+	err = g.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// offer passes on a hint, unless there is too much to do.
+func (e *engine) offer(in core.Input) {
+	select {
+	case e.results <- in:
+	default:
+	}
+}
+
+func (e *engine) loop(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			e.step(core.Tick{})
+		case in := <-e.results:
+			e.step(in)
+		case env := <-e.inbox:
+			e.replies[env.id] = env.reply
+			e.step(env.input)
+		}
+	}
+}
+
+func (e *engine) step(in core.Input) {
+	now := time.Now()
+	since := now.Sub(e.start)
+	for _, o := range e.core.Step(core.Time(since), now.UnixMilli(), in) {
+		e.carryOut(o)
+	}
+	e.stepped.Store(int64(since))
+	e.healthy.Store(e.core.Healthy())
+}
+
+// back returns a call's result to the core.
+func back[R any](e *engine, id core.CallID) func(R) {
+	return func(r R) { e.results <- core.Returned{Call: id, Result: r} }
+}
+
+func (e *engine) carryOut(o core.Output) {
+	switch o := o.(type) {
+	case core.Reply:
+		if ch := e.replies[o.Request]; ch != nil {
+			delete(e.replies, o.Request)
+			ch <- o
+		}
+	case core.Load:
+		e.state.Load(o, back[core.Loaded](e, o.Call))
+	case core.Follow:
+		e.state.Follow(o, back[core.Fed](e, o.Call))
+	case core.Fetch:
+		e.state.Fetch(o, back[core.Fetched](e, o.Call))
+	case core.Commit:
+		e.state.Commit(o, back[core.Committed](e, o.Call))
+	case core.Grant:
+		e.state.Grant(o, back[core.Granted](e, o.Call))
+	case core.Extend:
+		e.state.Extend(o, back[core.Granted](e, o.Call))
+	case core.Share:
+		e.state.Share(o.Controllers)
+	case core.ReadCatalogue:
+		e.cloud.Catalogue(back[core.CatalogueRead](e, o.Call))
+	case core.ListMachines:
+		e.cloud.List(back[core.Listed](e, o.Call))
+	case core.HireMachines:
+		e.cloud.Hire(o.Hire, back[core.Hired](e, o.Call))
+	case core.ReturnMachines:
+		e.cloud.Return(o.Names, back[core.GivenBack](e, o.Call))
+	case core.Order:
+		e.workers.Do(o.Addr, o.Body, back[core.Answered](e, o.Call))
+	case core.Show:
+		e.workers.Show(o.Addr, back[core.Answered](e, o.Call))
+	case core.Tell:
+		e.mesh.Tell(o.Line)
+	default:
+		panic(fmt.Sprintf("output %T not known", o))
+	}
+}
--- /dev/null
+++ b/cmd/lilacrill/main.go
@@ -0,0 +1,102 @@
+// Command lilacrill is a cluster scheduler: it takes jobs from users, rents
+// machines from a cloud and has workers run the tasks.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"lilacrill/internal/config"
+)
+
+// version names the release.
+const version = "0.1.0"
+
+func main() {
+	if err := rootCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "lilacrill:", strings.ReplaceAll(err.Error(), "\n", " "))
+		os.Exit(1)
+	}
+}
+
+func rootCommand() *cobra.Command {
+	var path string
+	root := &cobra.Command{
+		Use:   "lilacrill --config FILE",
+		Short: "lilacrill schedules jobs onto rented machines",
+		Long: `lilacrill is one controller of a cluster scheduler. It takes jobs from users,
+rents machines from a cloud, has workers run the tasks, and keeps its state in
+a key-value service. Several controllers run side by side, each with a settings
+file of its own; any of them may stop at any time.
+
+The log goes to standard error. LOG_LEVEL is error, info (the default) or debug.`,
+		Example: `  lilacrill --config /etc/lilacrill.toml     run a controller
+  lilacrill check /etc/lilacrill.toml        only check its settings`,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return cmd.Help()
+			}
+			return run(cmd.Context(), path)
+		},
+	}
+	root.Flags().StringVar(&path, "config", "", "the settings `FILE` (TOML) of this controller")
+	root.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file and say what is wrong with it",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := config.Load(args[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: settings of controller %s are good: %d controllers, %d teams, %d zones\n",
+				args[0], s.Label, s.Cluster.Size, len(s.Cluster.Teams), len(s.Cluster.Zones))
+			return err
+		},
+	}, &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "lilacrill", version)
+			return err
+		},
+	})
+	return root
+}
+
+func run(ctx context.Context, path string) error {
+	set, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := logger(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log.Info("starting", "label", set.Label, "zone", set.Zone, "version", version)
+	return newEngine(set, log).run(ctx)
+}
+
+// logger writes to standard error as much as level asks for.
+func logger(level string) (*slog.Logger, error) {
+	var l slog.Level
+	if level != "" {
+		if err := l.UnmarshalText([]byte(level)); err != nil {
+			return nil, fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", level)
+		}
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l})), nil
+}
--- /dev/null
+++ b/internal/cloud/client.go
@@ -0,0 +1,125 @@
+// Package cloud calls the cloud that machines are rented from.
+package cloud
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"lilacrill/internal/config"
+	"lilacrill/internal/core"
+	"lilacrill/internal/httpcall"
+	"lilacrill/wire"
+)
+
+// Client carries out the core's calls to the cloud.
+type Client struct {
+	log    *slog.Logger
+	calls  *httpcall.Client
+	tokens *rate.Limiter
+}
+
+const (
+	callTimeout = 4 * time.Second
+	tokenWait   = 2 * time.Second
+	idleTime    = 30 * time.Second
+	maxConns    = 8
+	// share is the part of the cloud's limit that one controller uses: only one
+	// buys at a time, the others rarely ask for anything.
+	share = 0.7
+)
+
+// New makes a client.
+func New(set *config.Settings, log *slog.Logger) *Client {
+	limit := set.Cluster.Cloud.RPS * share
+	return &Client{
+		log:    log,
+		calls:  httpcall.New(set.Services.Cloud, maxConns, idleTime),
+		tokens: rate.NewLimiter(rate.Limit(limit), max(1, int(limit))),
+	}
+}
+
+// call makes one call once there is a token for it.
+func (c *Client) call(method, path string, body any, into map[int]any) (int, core.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), tokenWait)
+	defer cancel()
+	if err := c.tokens.Wait(ctx); err != nil {
+		return 0, core.NotDone
+	}
+	status, err := c.calls.Call(method, path, body, callTimeout, into)
+	switch {
+	case errors.Is(err, httpcall.ErrNotSent):
+		return status, core.NotDone
+	case err != nil:
+		c.log.Warn("cloud gave no answer", "call", path, "err", err)
+		return status, core.Unknown
+	case status == http.StatusOK:
+		return status, core.Done
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable, status == http.StatusBadRequest:
+		c.log.Debug("cloud refused", "call", path, "status", status)
+		return status, core.NotDone
+	}
+	c.log.Warn("cloud answered oddly", "call", path, "status", status)
+	return status, core.Unknown
+}
+
+// Catalogue reads the machine types.
+func (c *Client) Catalogue(then func(core.CatalogueRead)) {
+	go func() {
+		var r core.CatalogueRead
+		_, r.Outcome = c.call(http.MethodGet, "/catalog", nil, map[int]any{200: &r.Catalogue})
+		then(r)
+	}()
+}
+
+// List reads the whole machine list.
+func (c *Client) List(then func(core.Listed)) {
+	go func() {
+		var r core.Listed
+		after := ""
+		for {
+			q := url.Values{"page": {strconv.Itoa(wire.MaxList)}}
+			if after != "" {
+				q.Set("after", after)
+			}
+			var page wire.MachineList
+			if _, r.Outcome = c.call(http.MethodGet, "/hosts?"+q.Encode(), nil, map[int]any{200: &page}); r.Outcome != core.Done {
+				break
+			}
+			r.Machines = append(r.Machines, page.Machines...)
+			if !page.More || len(page.Machines) == 0 {
+				break
+			}
+			after = string(page.Machines[len(page.Machines)-1].ID)
+		}
+		then(r)
+	}()
+}
+
+// noCapacity is the cloud's word for having no such machine left.
+const noCapacity = "no capacity"
+
+// Hire rents machines.
+func (c *Client) Hire(h wire.Hire, then func(core.Hired)) {
+	go func() {
+		var names wire.Machines
+		var problem wire.Problem
+		status, outcome := c.call(http.MethodPost, "/hosts", h, map[int]any{200: &names, 503: &problem})
+		then(core.Hired{Outcome: outcome, Names: names.Names,
+			Refused: status == http.StatusServiceUnavailable && problem.Error == noCapacity})
+	}()
+}
+
+// Return gives machines back.
+func (c *Client) Return(names []wire.MachineID, then func(core.GivenBack)) {
+	go func() {
+		_, outcome := c.call(http.MethodPost, "/hosts/return", wire.Machines{Names: names}, nil)
+		then(core.GivenBack{Outcome: outcome})
+	}()
+}
--- /dev/null
+++ b/internal/core/cloud.go
@@ -0,0 +1,465 @@
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"lilacrill/internal/capacity"
+	"lilacrill/internal/config"
+	"lilacrill/internal/placement"
+	"lilacrill/wire"
+)
+
+// cloudView is what this controller knows of the cloud, and what it is doing
+// there if it is the buyer.
+type cloudView struct {
+	catalogue   []wire.MachineType
+	catalogueAt Time
+	cataloguing bool
+
+	backlog []demand // tasks without room, as the last plan left them
+	lacking int      // tasks that the spare room falls short of
+
+	claiming  bool
+	vacant    Time // since when nobody is known to buy
+	listing   bool
+	nextList  Time
+	lists     int // good lists since this controller became the buyer
+	hiring    int
+	nextBuy   Time
+	refused   map[capacity.Key]Time // not before
+	returning bool
+	dooming   map[wire.MachineID]bool
+	silentAt  []Time // when machines were given up for their silence
+}
+
+// demand is a number of a job's tasks without room.
+type demand struct {
+	job      *job
+	count    int
+	promised bool
+}
+
+func (v *cloudView) init() {
+	v.refused = map[capacity.Key]Time{}
+	v.dooming = map[wire.MachineID]bool{}
+}
+
+const (
+	catalogueEvery = time.Minute
+	listEvery      = 2 * time.Second
+	buyEvery       = 300 * time.Millisecond
+	claimPatience  = 3 * time.Second
+	refusalPause   = 8 * time.Second
+	idleReturn     = 60 * time.Second
+	silentReturn   = 9 * time.Second
+	silentWindow   = 10 * time.Second
+	silentMost     = 4 // machines given up in a window
+)
+
+func (c *Core) kind(name string) *wire.MachineType {
+	for i := range c.catalogue {
+		if c.catalogue[i].Name == name {
+			return &c.catalogue[i]
+		}
+	}
+	return nil
+}
+
+func (c *Core) tickCloud() {
+	if !c.cataloguing && (len(c.catalogue) == 0 || c.now.Sub(c.catalogueAt) > catalogueEvery) && c.after(c.catalogueAt) {
+		c.readCatalogue()
+	}
+	if !c.whole() || !c.stateFresh() {
+		return
+	}
+	if c.buyer != c.boot {
+		c.lists = 0
+		c.claim()
+		return
+	}
+	if !c.listing && c.after(c.nextList) {
+		c.list()
+	}
+	c.spoil()
+	c.giveBack()
+	if c.after(c.nextBuy) {
+		c.nextBuy = c.now.Add(buyEvery)
+		c.buy()
+	}
+}
+
+func (c *Core) readCatalogue() {
+	c.cataloguing = true
+	c.do(ReadCatalogue{call(c, func(r CatalogueRead) {
+		c.cataloguing = false
+		if r.Outcome != Done {
+			// An old catalogue still serves; without any, ask again soon.
+			c.catalogueAt = c.now.Add(time.Second)
+			return
+		}
+		c.catalogue, c.catalogueAt, c.dirty = r.Catalogue.Types, c.now, true
+	})})
+}
+
+// claim tries to become the buyer when there is none: one buyer at a time keeps
+// controllers from renting twice for the same need.
+func (c *Core) claim() {
+	if c.buyer != 0 {
+		c.vacant = 0
+		return
+	}
+	if c.vacant == 0 {
+		c.vacant = c.now
+	}
+	if c.claiming || c.permit == 0 || !c.enrolled || !c.mine("buyer") && c.now.Sub(c.vacant) < claimPatience {
+		return
+	}
+	c.claiming = true
+	claim := put(buyerKey, c.boot)
+	claim.Permit = c.permit
+	c.commit(ClassRest, wire.Transaction{
+		If:   []wire.Condition{{Key: buyerKey, Stamp: c.ver[buyerKey]}},
+		Then: []wire.Change{claim},
+	}, func(r Committed) {
+		c.claiming = false
+		c.vacant = 0
+		if r.Outcome == Done {
+			c.log.Info("this controller now buys and returns machines")
+		} else {
+			c.barrier(func(bool) {})
+		}
+	})
+}
+
+func (c *Core) list() {
+	c.listing = true
+	c.nextList = c.now.Add(listEvery)
+	c.do(ListMachines{call(c, func(r Listed) {
+		c.listing = false
+		if r.Outcome != Done {
+			return
+		}
+		c.lists++
+		c.listed(r.Machines)
+		c.do(Tell{&wire.PeerLine{From: c.set.Label, Cloud: r.Machines}})
+	})})
+}
+
+// listed takes a machine list. It lags, so absence from it proves nothing.
+func (c *Core) listed(list []wire.ListedMachine) {
+	for _, l := range list {
+		m := c.machineOf(l.ID)
+		if m.newest == nil {
+			m.addr, m.kind, m.zone, m.spot = l.Addr, l.Type, l.Zone, l.Spot
+		}
+		m.listed = c.now
+		m.status = l.Status
+		if born := c.now.Add(-config.Seconds(l.HeldS)); m.born == 0 || born < m.born {
+			m.born = born
+		}
+	}
+}
+
+// coming reports whether a rented machine may still be expected to come up.
+func (c *Core) coming(m *machine) bool {
+	t := c.kind(m.kind)
+	if t == nil || m.newest != nil || m.gone || m.status == wire.MachineFailed {
+		return false
+	}
+	if d, doomed := c.dooms[m.id]; doomed && !d.Over {
+		return false
+	}
+	return c.now.Sub(m.born) < config.Seconds(1.8*t.StartupS)+3*time.Second
+}
+
+// reserve keeps room free for tasks that must start at once, before less urgent
+// ones are placed.
+func (c *Core) reserve(fleet placement.Fleet) {
+	for _, m := range c.machines {
+		m.reserved = false
+	}
+	c.lacking = 0
+	for _, s := range c.spares() {
+		left := s.Count
+		for _, ch := range fleet.Choose(s.Request, s.Count, "", placement.Options{
+			Relax: true, Usable: func(h *placement.Host) bool { return c.usable(c.machines[h.ID]) },
+		}) {
+			left -= ch.Count
+			c.machines[ch.Machine].reserved = true
+		}
+		c.lacking += left
+	}
+}
+
+// spares is the room to be kept free: for every class that is promised a short
+// wait, some of the tasks it has now.
+func (c *Core) spares() []capacity.Demand {
+	type seen struct {
+		spec  *wire.JobSpec
+		tasks int
+	}
+	classes := map[string]*seen{}
+	for _, id := range c.jobIDs() {
+		j := c.jobs[id]
+		s := classes[j.spec.Class]
+		if s == nil {
+			s = &seen{}
+			classes[j.spec.Class] = s
+		}
+		s.spec = &j.spec
+		s.tasks += j.spec.Tasks - j.done.Len()
+	}
+	var out []capacity.Demand
+	for _, o := range c.set.Cluster.Objectives {
+		s := classes[o.Class]
+		if o.Kind != "wait" || s == nil || s.spec.Shape == wire.ShapeArray {
+			continue
+		}
+		delete(classes, o.Class)
+		spec := *s.spec
+		spec.ID, spec.Zone, spec.Apart, spec.Together, spec.Shape = "", "", false, false, wire.ShapeArray
+		out = append(out, capacity.Demand{Request: placement.NewRequest(&spec), Count: 1 + (s.tasks+9)/10})
+	}
+	return out
+}
+
+// buy rents for what waits and for the spare room.
+func (c *Core) buy() {
+	if c.lists == 0 || len(c.catalogue) == 0 || c.hiring > 0 {
+		return
+	}
+	var coming placement.Fleet
+	for _, id := range sortedMachines(c.machines) {
+		if m := c.machines[id]; c.coming(m) {
+			o := capacity.Offer{Type: *c.kind(m.kind), Zone: m.zone, Spot: m.spot}
+			coming = append(coming, o.Host(m.id, maxPerHost))
+		}
+	}
+	var demands []capacity.Demand
+	for _, d := range c.backlog {
+		demands = append(demands, capacity.Demand{Request: d.job.req, Count: d.count})
+	}
+	if c.lacking > 0 {
+		for _, s := range c.spares() {
+			s.Count = min(s.Count, c.lacking)
+			demands = append(demands, s)
+		}
+	}
+	for _, p := range capacity.Plan(demands, coming, c.offers(), maxPerHost) {
+		c.hire(wire.Hire{
+			Name: fmt.Sprintf("%s-%d", c.set.Label, c.serial()),
+			Type: p.Offer.Type.Name, Zone: p.Offer.Zone, Spot: p.Offer.Spot, Number: p.Number,
+		}, 3)
+	}
+}
+
+func sortedMachines(m map[wire.MachineID]*machine) []wire.MachineID {
+	ids := make([]wire.MachineID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// offers is all the cloud may have, less what it refused lately.
+func (c *Core) offers() []capacity.Offer {
+	var out []capacity.Offer
+	for _, t := range c.catalogue {
+		for _, zone := range t.Zones {
+			if !slices.Contains(c.set.Cluster.Zones, zone) {
+				continue
+			}
+			for _, spot := range []bool{false, true} {
+				o := capacity.Offer{Type: t, Zone: zone, Spot: spot}
+				if c.after(c.refused[o.Key()]) {
+					out = append(out, o)
+				}
+			}
+		}
+	}
+	return out
+}
+
+func (c *Core) hire(h wire.Hire, tries int) {
+	c.hiring++
+	c.do(HireMachines{call(c, func(r Hired) {
+		c.hiring--
+		key := capacity.Key{Type: h.Type, Zone: h.Zone, Spot: h.Spot}
+		switch {
+		case r.Outcome == Done:
+			c.log.Info("machines rented", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "asked", h.Number, "got", len(r.Names))
+			for _, id := range r.Names {
+				m := c.machineOf(id)
+				if m.newest == nil {
+					m.kind, m.zone, m.spot, m.status = h.Type, h.Zone, h.Spot, wire.MachineBooting
+				}
+				m.born, m.listed = c.now, c.now
+			}
+			if len(r.Names) < h.Number {
+				c.refused[key] = c.now.Add(refusalPause)
+			}
+		case r.Outcome == Unknown && tries > 1:
+			// The name makes the repeat safe: it rents nothing twice.
+			c.hire(h, tries-1)
+		case r.Refused:
+			c.refused[key] = c.now.Add(refusalPause)
+		default:
+			c.nextBuy = c.now.Add(time.Second)
+		}
+	}), h})
+}
+
+// spoil finds machines that should go: dead, silent, never up, or idle.
+func (c *Core) spoil() {
+	c.reindex()
+	for id := range c.onMachine {
+		c.machineOf(id) // one that neither reports nor is listed is silent too
+	}
+	silent, reporting := 0, 0
+	for _, m := range c.machines {
+		if m.newest != nil && !m.gone {
+			reporting++
+			if c.now.Sub(c.lastSign(m)) > silentReturn {
+				silent++
+			}
+		}
+	}
+	// Many silent at once, and no sibling that hears them: it may be us who is
+	// cut off.
+	cutOff := silent > 2 && 3*silent > reporting && !c.siblingsWell()
+	for _, id := range sortedMachines(c.machines) {
+		m := c.machines[id]
+		if _, doomed := c.dooms[id]; m.gone || c.dooming[id] || doomed && !c.dooms[id].Over {
+			continue
+		}
+		quiet := c.now.Sub(c.lastSign(m))
+		busy := len(c.onMachine[id]) > 0
+		if busy || m.reserved || m.newest == nil {
+			m.idleSince = 0
+		} else if m.idleSince == 0 {
+			m.idleSince = c.now
+		}
+		t := c.kind(m.kind)
+		switch {
+		case m.status == wire.MachineFailed:
+			c.doom(m, "failed")
+		case m.newest == nil && m.status != wire.MachineRunning && !busy:
+			if t != nil && c.now.Sub(m.born) > config.Seconds(4*t.StartupS)+10*time.Second {
+				c.doom(m, "never came up")
+			}
+		case quiet > silentReturn && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
+			if c.mayGiveUp() {
+				c.doom(m, "silent")
+			}
+		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idleReturn && c.lacking == 0 && len(c.backlog) == 0:
+			c.doom(m, "idle")
+		}
+	}
+}
+
+// siblingsWell reports whether all other living controllers talk to us.
+func (c *Core) siblingsWell() bool {
+	for label := range c.nodes {
+		if label == c.set.Label {
+			continue
+		}
+		if p := c.peers[label]; p == nil || c.now.Sub(p.heard) > 3*beatEvery {
+			return false
+		}
+	}
+	return len(c.nodes) > 1
+}
+
+// mayGiveUp bounds how many silent machines go at once.
+func (c *Core) mayGiveUp() bool {
+	c.silentAt = slices.DeleteFunc(c.silentAt, func(t Time) bool { return c.now.Sub(t) > silentWindow })
+	if len(c.silentAt) >= silentMost {
+		return false
+	}
+	c.silentAt = append(c.silentAt, c.now)
+	return true
+}
+
+// doom writes down that a machine is to be returned. Placements demand that
+// this record is as they saw it, so none can slip in unseen.
+func (c *Core) doom(m *machine, why string) {
+	c.dooming[m.id] = true
+	c.commit(ClassRest, wire.Transaction{
+		Then: []wire.Change{put(doomKey(m.id), doomRecord{Why: why})},
+	}, func(r Committed) {
+		delete(c.dooming, m.id)
+		if r.Outcome == Done {
+			c.log.Info("machine to be returned", "machine", m.id, "why", why, "quiet", c.now.Sub(c.lastSign(m)))
+		}
+	})
+}
+
+// giveBack returns doomed machines. The cloud's 200 means that they and all on
+// them are gone; only then do their tasks leave the records.
+func (c *Core) giveBack() {
+	if c.returning {
+		return
+	}
+	c.reindex()
+	var names []wire.MachineID
+	var txn wire.Transaction
+	for _, id := range sortedDooms(c.dooms) {
+		d, key := c.dooms[id], doomKey(id)
+		if d.Over || c.dooming[id] || c.ver[key] > c.feed {
+			continue
+		}
+		m := c.machineOf(id)
+		switch {
+		case m.gone && len(c.onMachine[id]) == 0:
+			if len(txn.Then) < c.set.Cluster.State.TxnOps {
+				txn.If = append(txn.If, wire.Condition{Key: key, Stamp: c.ver[key]})
+				txn.Then = append(txn.Then, wire.Change{Drop: key})
+			}
+		case m.gone:
+		case d.Why == "idle" && len(c.onMachine[id]) > 0:
+			c.spare(id)
+		case len(names) < wire.MaxReturn:
+			names = append(names, id)
+		}
+	}
+	if len(txn.Then) > 0 {
+		c.commit(ClassRest, txn, func(Committed) {})
+	}
+	if len(names) == 0 {
+		return
+	}
+	c.returning = true
+	c.do(ReturnMachines{call(c, func(r GivenBack) {
+		c.returning = false
+		if r.Outcome != Done {
+			return
+		}
+		for _, id := range names {
+			m := c.machineOf(id)
+			m.gone, m.goneAt, c.dirty = true, c.now, true
+		}
+	}), names})
+}
+
+// spare keeps an idle machine that got work before its end was written down.
+func (c *Core) spare(id wire.MachineID) {
+	c.dooming[id] = true
+	key := doomKey(id)
+	c.commit(ClassRest, wire.Transaction{
+		If:   []wire.Condition{{Key: key, Stamp: c.ver[key]}},
+		Then: []wire.Change{put(key, doomRecord{Why: c.dooms[id].Why, Over: true})},
+	}, func(Committed) { delete(c.dooming, id) })
+}
+
+func sortedDooms(m map[wire.MachineID]doomRecord) []wire.MachineID {
+	ids := make([]wire.MachineID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, cmp.Compare[wire.MachineID])
+	return ids
+}
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,504 @@
+package core
+
+import (
+	"net/http"
+	"time"
+
+	"lilacrill/internal/placement"
+	"lilacrill/wire"
+)
+
+// fleet is what this controller knows of the machines.
+type fleet struct {
+	machines map[wire.MachineID]*machine
+	timeouts []timeout
+}
+
+type timeout struct {
+	at   Time
+	then func()
+}
+
+func (f *fleet) init() { f.machines = map[wire.MachineID]*machine{} }
+
+// machine is one machine as reported by its worker and listed by the cloud.
+type machine struct {
+	id     wire.MachineID
+	addr   string
+	kind   string
+	zone   string
+	spot   bool
+	first  Time // when it was first known here
+	status wire.MachineStatus
+	listed Time // when the list last had it
+
+	// newest is the newest report, whoever got it; direct is the newest that
+	// this controller got itself. Only direct ones prove anything.
+	newest, direct *wire.Report
+	tasks          map[attemptKey]*wire.TaskReport // of newest
+	directTasks    map[attemptKey]*wire.TaskReport // of direct
+	heard          Time                            // when something new last came
+	heardDirect    Time
+	recallAt       Time // when the cloud takes it, if newest has a notice
+
+	images map[string]Time // images it has, and when they were last seen in use
+
+	pushing  bool
+	again    bool // something new came up while pushing
+	pushAt   Time // not before
+	showing  bool
+	showAt   Time
+	shows    int // unanswered in a row
+	badUntil Time
+	faults   map[wire.JobID]Time
+
+	uncleared map[attemptKey]wire.Ledger // exited tasks without an entry, and the revision that is known to lack it
+	strays    map[attemptKey]Time        // running tasks without an entry, and since when
+	gone      bool                       // the cloud confirmed that it was returned
+	goneAt    Time
+	born      Time // when it was rented, as far as known
+	idleSince Time
+	reserved  bool // holds room that is kept free
+}
+
+type attemptKey struct {
+	task    wire.TaskID
+	attempt wire.Attempt
+}
+
+// key names one of the entry's tasks.
+func (e *Entry) key(i int) attemptKey {
+	return attemptKey{wire.TaskID{Job: e.Job, Index: i}, e.Attempt}
+}
+
+func (c *Core) machineOf(id wire.MachineID) *machine {
+	m := c.machines[id]
+	if m == nil {
+		m = &machine{
+			id:        id,
+			first:     c.now,
+			images:    map[string]Time{},
+			faults:    map[wire.JobID]Time{},
+			uncleared: map[attemptKey]wire.Ledger{},
+			strays:    map[attemptKey]Time{},
+		}
+		c.machines[id] = m
+	}
+	return m
+}
+
+// running counts an entry's tasks that the newest report shows running.
+func (m *machine) running(e *Entry) int {
+	n := 0
+	for i := range e.Tasks.All {
+		if t := m.tasks[e.key(i)]; t != nil && t.State == wire.TaskRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// lastSign is when a machine last showed itself. One that has only just become
+// known, or that we have had no chance to hear yet, is not silent.
+func (c *Core) lastSign(m *machine) Time { return max(m.heard, m.first, c.readyAt) }
+
+// tasksOf is a report's tasks. A machine may list an ended attempt beside
+// another one of the same task, so the task alone does not name them.
+func tasksOf(r *wire.Report) map[attemptKey]*wire.TaskReport {
+	tasks := make(map[attemptKey]*wire.TaskReport, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		tasks[attemptKey{t.Task, t.Attempt}] = t
+	}
+	return tasks
+}
+
+// hear takes a report, got from the worker itself or passed on by a sibling.
+func (c *Core) hear(r *wire.Report, direct bool) {
+	m := c.machineOf(r.Machine)
+	if direct && (m.direct == nil || r.Newer(m.direct)) {
+		m.direct, m.directTasks, m.heardDirect = r, tasksOf(r), c.now
+		c.dirty = true
+	}
+	if m.newest != nil && !r.Newer(m.newest) {
+		return
+	}
+	before := m.tasks
+	m.newest, m.tasks, m.heard, m.shows = r, tasksOf(r), c.now, 0
+	m.addr, m.kind, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
+	m.recallAt = 0
+	if r.RecallS != nil {
+		m.recallAt = c.now.Add(time.Duration(*r.RecallS * float64(time.Second)))
+	}
+	c.dirty = true
+	for id, t := range m.tasks {
+		if j := c.jobs[id.task.Job]; j != nil && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
+			m.images[j.spec.Image] = c.now
+		}
+		if old := before[id]; t.State == wire.TaskExited && (old == nil || old.State != wire.TaskExited) {
+			c.noteExit(m, t)
+		}
+	}
+}
+
+const (
+	avoidFull    = 3 * time.Second
+	avoidFaulty  = 2 * time.Minute
+	unknownPause = 2 * time.Second
+	badMachine   = 5 * time.Minute
+)
+
+// noteExit remembers what an exit says of its machine and its job. All of this
+// only steers the choice of machines.
+func (c *Core) noteExit(m *machine, t *wire.TaskReport) {
+	j := c.jobs[t.Task.Job]
+	if j == nil {
+		return
+	}
+	switch t.Cause {
+	case wire.CauseNoRoom, wire.CauseInUse:
+		j.avoid[m.id] = c.now.Add(avoidFull)
+	case wire.CauseUnknown:
+		j.notBefore = c.now.Add(unknownPause)
+	case wire.CauseError:
+		j.avoid[m.id] = c.now.Add(avoidFaulty)
+		j.errors[m.id] = true
+		m.faults[j.id] = c.now
+		if n := len(j.errors); n >= 3 {
+			// It fails wherever it runs: the job is at fault, not the machines.
+			j.notBefore = c.now.Add(min(time.Second<<min(n-2, 6), time.Minute))
+		}
+		c.judge(m)
+	}
+}
+
+// judge calls a machine bad when jobs fail on it that do not fail elsewhere.
+func (c *Core) judge(m *machine) {
+	n := 0
+	for id := range m.faults {
+		if j := c.jobs[id]; j == nil || len(j.errors) < 3 {
+			n++
+		}
+	}
+	if n >= 2 && !c.after(m.badUntil) {
+		return
+	}
+	if n >= 2 {
+		m.badUntil = c.now.Add(badMachine)
+		c.log.Info("machine looks faulty", "machine", m.id, "jobs", n)
+	}
+}
+
+// hello answers a worker's report.
+func (c *Core) hello(in Reported) {
+	r := in.Report
+	if !c.ready {
+		c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "starting"}})
+		return
+	}
+	if r.Baton > c.baton {
+		// Somebody raised the baton; until we know everything that was written
+		// before, we are not entitled to command this worker.
+		c.barrier(func(bool) {
+			if r.Baton > c.baton {
+				c.sendAway(in.Request)
+				return
+			}
+			c.answerWorker(in)
+		})
+		return
+	}
+	if !c.stateFresh() && c.fresherPeer() != "" {
+		c.hear(r, true)
+		c.sendAway(in.Request)
+		return
+	}
+	c.answerWorker(in)
+}
+
+func (c *Core) sendAway(r RequestID) {
+	c.reply(r, http.StatusMisdirectedRequest, wire.Redirect{Foreman: c.fresherPeer()})
+}
+
+func (c *Core) answerWorker(in Reported) {
+	c.hear(in.Report, true)
+	c.do(Tell{&wire.PeerLine{From: c.set.Label, Report: in.Report}})
+	m := c.machines[in.Report.Machine]
+	var orders []wire.Order
+	// A report that is older than one we know was held up on its way: orders
+	// that follow from it could repeat what is over.
+	if m.newest == in.Report {
+		c.reindex()
+		orders = append(c.ordersFor(m), c.clears(m)...)
+	}
+	c.reply(in.Request, http.StatusOK, wire.ReportAnswer{Baton: c.baton, Orders: orders})
+}
+
+// maxOrders keeps an answer to a worker under the protocol's 64 KiB.
+const maxOrders = 400
+
+func windup(s float64) *float64 { return &s }
+
+// ordersFor says what a machine has to be told, going by its newest report and
+// the records.
+func (c *Core) ordersFor(m *machine) []wire.Order {
+	var orders []wire.Order
+	r := m.newest
+	for _, e := range c.onMachine[m.id] {
+		if e.Shift != r.Shift {
+			continue
+		}
+		j := c.jobs[e.Job]
+		for i := range e.Tasks.All {
+			if len(orders) >= maxOrders {
+				return orders
+			}
+			id := wire.TaskID{Job: e.Job, Index: i}
+			t := m.tasks[e.key(i)]
+			switch {
+			case t == nil:
+				// Only the recorded launcher launches, and after a take-over only
+				// when the worker has seen the baton that fences off the one before.
+				if j != nil && e.Halt == HaltNo && e.Launcher == c.boot && r.Baton >= e.Fence {
+					orders = append(orders, wire.Order{Verb: wire.VerbLaunch, Task: id, Attempt: e.Attempt})
+				}
+			case t.State == wire.TaskExited:
+			case j == nil || e.Halt == HaltAtOnce:
+				orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: id, Attempt: e.Attempt, WindupS: windup(0)})
+			case e.Halt == HaltSave && t.State != wire.TaskFlushing:
+				orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: id, Attempt: e.Attempt, WindupS: windup(j.spec.StashS + saveMargin)})
+			}
+		}
+	}
+	return orders
+}
+
+const (
+	// saveMargin is granted on top of what a job says it needs to save.
+	saveMargin = 3.0
+	// strayPatience is how long a task without a record may be reported before
+	// it is stopped: the record may be on its way to us.
+	strayPatience = 5 * time.Second
+)
+
+// clears says which ended tasks a machine may forget. A cleared attempt would
+// start again if a launch of it were still under way, so first its entry must
+// be gone from the records, then the baton raised, and then the worker must
+// have seen that baton: no launch sent before can pass it, and no controller
+// that knows it sends one.
+func (c *Core) clears(m *machine) []wire.Order {
+	var orders []wire.Order
+	recorded := map[attemptKey]bool{}
+	for _, e := range c.onMachine[m.id] {
+		for i := range e.Tasks.All {
+			recorded[e.key(i)] = true
+		}
+	}
+	seen := map[attemptKey]bool{}
+	var fresh []attemptKey
+	for i := range m.newest.Tasks {
+		t := &m.newest.Tasks[i]
+		key := attemptKey{t.Task, t.Attempt}
+		if recorded[key] {
+			continue
+		}
+		seen[key] = true
+		if t.State != wire.TaskExited {
+			since, ok := m.strays[key]
+			if !ok {
+				m.strays[key] = c.now
+			} else if c.whole() && c.stateFresh() && c.now.Sub(since) > strayPatience && len(orders) < maxOrders {
+				orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, WindupS: windup(0)})
+			}
+			continue
+		}
+		without, ok := m.uncleared[key]
+		if !ok {
+			m.uncleared[key] = notYet
+			fresh = append(fresh, key)
+		}
+		if c.batonStamp > without && m.newest.Baton >= c.baton && len(orders) < maxOrders {
+			orders = append(orders, wire.Order{Verb: wire.VerbClear, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	if len(fresh) > 0 {
+		c.barrier(func(ok bool) { c.noteGone(m, fresh, ok) })
+	}
+	for key := range m.uncleared {
+		if !seen[key] {
+			delete(m.uncleared, key)
+		}
+	}
+	for key := range m.strays {
+		if !seen[key] {
+			delete(m.strays, key)
+		}
+	}
+	return orders
+}
+
+// notYet is a revision that no baton is ever newer than.
+const notYet = ^wire.Ledger(0)
+
+// noteGone notes, after a barrier, that ended attempts have no entry. Without
+// the barrier the entry could merely be on its way to us: the attempt would be
+// cleared, launched again by its launcher, and then taken for ended.
+func (c *Core) noteGone(m *machine, keys []attemptKey, ok bool) {
+	if !ok {
+		for _, key := range keys {
+			delete(m.uncleared, key)
+		}
+		return
+	}
+	c.reindex()
+	for _, key := range keys {
+		if _, open := m.uncleared[key]; !open {
+			continue
+		}
+		m.uncleared[key] = max(c.feed, c.written)
+		for _, e := range c.onMachine[m.id] {
+			if e.Job == key.task.Job && e.Attempt == key.attempt && e.Tasks.Has(key.task.Index) {
+				delete(m.uncleared, key)
+			}
+		}
+	}
+}
+
+const (
+	pushRetry   = time.Second
+	silentAsk   = 5 * time.Second
+	showRetry   = 1500 * time.Millisecond
+	forgetAfter = 2 * time.Minute
+	sweepClears = 45 * time.Second
+	manyClears  = 40
+)
+
+// push sends a machine what it has to be told, directly.
+func (c *Core) push(m *machine) {
+	if m.pushing || m.newest == nil || m.gone || !c.after(m.pushAt) || !c.ready {
+		return
+	}
+	if m.newest.Baton > c.baton {
+		c.barrier(func(bool) {})
+		return
+	}
+	c.reindex()
+	orders := c.ordersFor(m)
+	if len(orders) == 0 {
+		return
+	}
+	m.pushing = true
+	m.pushAt = c.now.Add(pushRetry)
+	c.do(Order{call(c, func(a Answered) {
+		m.pushing = false
+		c.answered(m, a)
+		if m.again {
+			c.pushNow(m)
+		}
+	}), m.addr, wire.DoRequest{Baton: c.baton, Shift: m.newest.Shift, Orders: orders}})
+}
+
+// pushNow sends what has just been decided.
+func (c *Core) pushNow(m *machine) {
+	if m.pushing {
+		m.again = true
+		return
+	}
+	m.again = false
+	m.pushAt = c.now
+	c.push(m)
+}
+
+// answered takes a worker's own answer to /do or /show.
+func (c *Core) answered(m *machine, a Answered) {
+	if a.Report == nil || a.Report.Machine != m.id {
+		return
+	}
+	c.hear(a.Report, true)
+	c.do(Tell{&wire.PeerLine{From: c.set.Label, Report: a.Report}})
+	if a.Report.Baton > c.baton {
+		c.barrier(func(bool) {})
+	}
+}
+
+func (c *Core) pushJob(id wire.JobID) {
+	c.reindex()
+	for _, e := range c.ofJob[id] {
+		if m := c.machines[e.Machine]; m != nil {
+			c.pushNow(m)
+		}
+	}
+}
+
+func (c *Core) tickFleet() {
+	kept := c.timeouts[:0]
+	for _, t := range c.timeouts {
+		if c.after(t.at) {
+			t.then()
+		} else {
+			kept = append(kept, t)
+		}
+	}
+	c.timeouts = kept
+	if !c.after(c.nextLook) {
+		return
+	}
+	c.nextLook = c.now.Add(200 * time.Millisecond)
+	c.reindex()
+	uncleared, oldest := 0, false
+	for id, m := range c.machines {
+		if m.gone || c.now.Sub(c.lastSign(m)) > forgetAfter && c.now.Sub(m.listed) > forgetAfter {
+			if len(c.onMachine[id]) == 0 && (!m.gone || c.now.Sub(m.goneAt) > forgetAfter) {
+				delete(c.machines, id)
+			}
+			continue
+		}
+		uncleared = max(uncleared, len(m.uncleared))
+		oldest = oldest || len(m.uncleared) > 0
+		for _, e := range c.onMachine[id] {
+			if e.Launcher == c.boot && e.Halt == HaltNo && c.now.Sub(m.heard) < silentAsk {
+				c.push(m)
+				break
+			}
+		}
+		// Ask a silent worker itself: it may have lost its way to us.
+		if c.now.Sub(c.lastSign(m)) > silentAsk && m.addr != "" && m.status != wire.MachineBooting && !m.showing && c.after(m.showAt) {
+			m.showing = true
+			m.showAt = c.now.Add(showRetry)
+			c.do(Show{call(c, func(a Answered) {
+				m.showing = false
+				if a.Report == nil {
+					m.shows++
+				}
+				c.answered(m, a)
+			}), m.addr})
+		}
+	}
+	if uncleared > manyClears || oldest && c.now.Sub(c.lastBump) > sweepClears {
+		c.raiseBaton()
+	}
+}
+
+// raiseBaton makes a fence so that ended tasks can be cleared.
+func (c *Core) raiseBaton() {
+	if !c.after(c.lastBump.Add(10 * time.Second)) {
+		return
+	}
+	c.lastBump = c.now
+	c.commit(ClassRest, wire.Transaction{
+		If:   []wire.Condition{{Key: batonKey, Stamp: c.ver[batonKey]}},
+		Then: []wire.Change{put(batonKey, c.baton+1)},
+	}, func(Committed) { c.barrier(func(bool) {}) })
+}
+
+func labels(kind, zone string, spot bool) placement.Tags {
+	s := "false"
+	if spot {
+		s = "true"
+	}
+	return placement.Tags{placement.LabelType: kind, placement.LabelZone: zone, placement.LabelSpot: s}
+}
+
+func amountOf(t *wire.MachineType) placement.Amount {
+	return placement.Amount{Cores: t.Cores, Accelerators: t.Accelerators, MemGB: t.MemGB}
+}
--- /dev/null
+++ b/internal/core/io.go
@@ -0,0 +1,254 @@
+package core
+
+import (
+	"encoding/json"
+	"time"
+
+	"lilacrill/wire"
+)
+
+// Time is a moment on the steady clock of this process.
+type Time time.Duration
+
+// Add is the moment d later.
+func (t Time) Add(d time.Duration) Time { return t + Time(d) }
+
+// Sub is the time from u to t.
+func (t Time) Sub(u Time) time.Duration { return time.Duration(t - u) }
+
+// RequestID names a request that waits for a Reply.
+type RequestID uint64
+
+// CallID names a call that the core asked for.
+type CallID uint64
+
+// Class orders calls when tokens are short: the lowest first.
+type Class int
+
+// The classes of calls, most urgent first.
+const (
+	ClassLease Class = iota
+	ClassUrgent
+	ClassAccept
+	ClassRest
+	Classes
+)
+
+// Input is something that happened.
+type Input interface{ isInput() }
+
+// Output is something to do.
+type Output interface{ isOutput() }
+
+// The inputs.
+type (
+	// Tick only lets time pass.
+	Tick struct{}
+
+	// Submitted is a checked submission.
+	Submitted struct {
+		Request RequestID
+		Spec    wire.JobSpec
+	}
+	// Polled asks for a job's state.
+	Polled struct {
+		Request RequestID
+		Job     wire.JobID
+	}
+	// CancelAsked asks for a job to be withdrawn.
+	CancelAsked struct {
+		Request RequestID
+		Job     wire.JobID
+	}
+	// Reported is a worker's report.
+	Reported struct {
+		Request RequestID
+		Report  *wire.Report
+	}
+	// Returned carries the result of a call.
+	Returned struct {
+		Call   CallID
+		Result any
+	}
+	// PeerSaid is a line from another controller.
+	PeerSaid struct {
+		Line *wire.PeerLine
+	}
+)
+
+// The outputs.
+type (
+	// Reply answers a request.
+	Reply struct {
+		Request RequestID
+		Status  int
+		Body    any
+		// RetryAfter, if above 0, tells the user when to come back.
+		RetryAfter time.Duration
+	}
+	// Load reads all keys under the prefixes; the result is a Loaded.
+	Load struct {
+		Call     CallID
+		Prefixes []string
+	}
+	// Follow reads the feed; the result is a Fed.
+	Follow struct {
+		Call  CallID
+		Class Class
+		Under string
+		After wire.Ledger
+		Block time.Duration
+	}
+	// Fetch reads one key; the result is a Fetched.
+	Fetch struct {
+		Call CallID
+		Key  string
+	}
+	// Commit runs a transaction; the result is a Committed.
+	Commit struct {
+		Call  CallID
+		Class Class
+		Txn   wire.Transaction
+	}
+	// Grant asks for a lease; the result is a Granted.
+	Grant struct {
+		Call CallID
+		TTL  time.Duration
+	}
+	// Extend renews a lease; the result is a Granted.
+	Extend struct {
+		Call   CallID
+		Permit wire.Permit
+	}
+	// Share tells how many controllers share the limits.
+	Share struct{ Controllers int }
+	// ReadCatalogue asks the cloud; the result is a CatalogueRead.
+	ReadCatalogue struct{ Call CallID }
+	// ListMachines asks the cloud for all machines; the result is a Listed.
+	ListMachines struct{ Call CallID }
+	// HireMachines rents; the result is a Hired.
+	HireMachines struct {
+		Call CallID
+		Hire wire.Hire
+	}
+	// ReturnMachines gives machines back; the result is a GivenBack.
+	ReturnMachines struct {
+		Call  CallID
+		Names []wire.MachineID
+	}
+	// Order sends commands to a worker; the result is an Answered.
+	Order struct {
+		Call CallID
+		Addr string
+		Body wire.DoRequest
+	}
+	// Show asks a worker for its report; the result is an Answered.
+	Show struct {
+		Call CallID
+		Addr string
+	}
+	// Tell sends a line to all siblings.
+	Tell struct{ Line *wire.PeerLine }
+)
+
+// Outcome is how a call to the state service or the cloud ended.
+type Outcome int
+
+// The outcomes of calls.
+const (
+	// Done: it was executed.
+	Done Outcome = iota
+	// Conflict: a condition failed, and nothing was changed.
+	Conflict
+	// NotDone: it was certainly not executed.
+	NotDone
+	// Unknown: it may have been executed, or may yet be.
+	Unknown
+	// Missing: what it names does not exist.
+	Missing
+	// TooOld: the feed no longer goes back that far.
+	TooOld
+)
+
+// The results of calls.
+type (
+	// Loaded answers a Load.
+	Loaded struct {
+		Outcome Outcome
+		Entries []wire.Entry
+		// First is the revision before the first read, Last that of the last.
+		First, Last wire.Ledger
+	}
+	// Fed answers a Follow.
+	Fed struct {
+		Outcome Outcome
+		Feed    wire.Feed
+	}
+	// Fetched answers a Fetch.
+	Fetched struct {
+		Outcome Outcome
+		Value   json.RawMessage
+		Stamp   wire.Ledger
+	}
+	// Committed answers a Commit.
+	Committed struct {
+		Outcome Outcome
+		Ledger  wire.Ledger
+		Failed  []string
+	}
+	// Granted answers a Grant or an Extend.
+	Granted struct {
+		Outcome Outcome
+		Permit  wire.Permit
+	}
+	// CatalogueRead answers a ReadCatalogue.
+	CatalogueRead struct {
+		Outcome   Outcome
+		Catalogue wire.Catalogue
+	}
+	// Listed answers a ListMachines.
+	Listed struct {
+		Outcome  Outcome
+		Machines []wire.ListedMachine
+	}
+	// Hired answers a HireMachines; with NotDone and Refused there was no
+	// capacity.
+	Hired struct {
+		Outcome Outcome
+		Refused bool
+		Names   []wire.MachineID
+	}
+	// GivenBack answers a ReturnMachines.
+	GivenBack struct{ Outcome Outcome }
+	// Answered answers an Order or a Show. Executed says that the orders were
+	// carried out; a Report may come either way.
+	Answered struct {
+		Outcome  Outcome
+		Executed bool
+		Report   *wire.Report
+	}
+)
+
+func (Tick) isInput()        {}
+func (Submitted) isInput()   {}
+func (Polled) isInput()      {}
+func (CancelAsked) isInput() {}
+func (Reported) isInput()    {}
+func (Returned) isInput()    {}
+func (PeerSaid) isInput()    {}
+
+func (Reply) isOutput()          {}
+func (Load) isOutput()           {}
+func (Follow) isOutput()         {}
+func (Fetch) isOutput()          {}
+func (Commit) isOutput()         {}
+func (Grant) isOutput()          {}
+func (Extend) isOutput()         {}
+func (Share) isOutput()          {}
+func (ReadCatalogue) isOutput()  {}
+func (ListMachines) isOutput()   {}
+func (HireMachines) isOutput()   {}
+func (ReturnMachines) isOutput() {}
+func (Order) isOutput()          {}
+func (Show) isOutput()           {}
+func (Tell) isOutput()           {}
--- /dev/null
+++ b/internal/core/plan.go
@@ -0,0 +1,1064 @@
+package core
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"lilacrill/internal/config"
+	"lilacrill/internal/placement"
+	"lilacrill/wire"
+)
+
+// planner decides which tasks go where.
+type planner struct {
+	dirty     bool
+	nextPlan  Time
+	nextLook  Time
+	lastBump  Time
+	nextSweep Time
+	sweeping  bool
+
+	// The index of the records: real ones for commands, and with the rounds
+	// that are being written for planning.
+	onMachine map[wire.MachineID][]*Entry
+	ofJob     map[wire.JobID][]*Entry
+}
+
+// plannerTeam is what the planner keeps of a team.
+type plannerTeam struct {
+	writing   *round
+	notBefore Time                    // no round before
+	placeFrom Time                    // no placements before: after lost writes
+	tries     int                     // lost writes in a row
+	firstTry  Time                    // when the first of them was sent
+	locked    map[wire.MachineID]bool // machines of the lost writes
+}
+
+func (p *planner) init() {
+	p.onMachine = map[wire.MachineID][]*Entry{}
+	p.ofJob = map[wire.JobID][]*Entry{}
+}
+
+// The bounds of "How Atlas chooses a host" for placement under contention.
+const (
+	probeHosts = 16
+	probeTries = 3
+	probeTime  = 400 * time.Millisecond
+	busyPause  = time.Second
+)
+
+const (
+	planEvery   = 10 * time.Millisecond
+	idlePlan    = 500 * time.Millisecond
+	freshTime   = 3 * time.Second
+	notDoneWait = 200 * time.Millisecond
+	reportSlack = 2 * time.Second
+	maxPerHost  = 300
+	maxTxnBytes = 40 << 10 // leaves room for one more page under the 64 KiB of a transaction
+)
+
+// reindex brings the index of the records up to date.
+func (c *Core) reindex() {
+	if !c.changed {
+		return
+	}
+	c.changed = false
+	c.dirty = true
+	clear(c.onMachine)
+	clear(c.ofJob)
+	for _, t := range c.teams {
+		for _, p := range t.pages {
+			for i := range p.entries {
+				e := &p.entries[i]
+				c.onMachine[e.Machine] = append(c.onMachine[e.Machine], e)
+				c.ofJob[e.Job] = append(c.ofJob[e.Job], e)
+			}
+		}
+	}
+}
+
+// mine reports whether this controller is a team's steward: the one that looks
+// after whatever its jobs need beyond the first placement. It is only a hint
+// that spares lost writes; safety rests on the conditions of the writes.
+func (c *Core) mine(team string) bool {
+	best, bestScore := "", uint64(0)
+	score := func(label string) {
+		h := fnv.New64a()
+		h.Write([]byte(label))
+		h.Write([]byte{0})
+		h.Write([]byte(team))
+		s := h.Sum64()
+		s ^= s >> 31
+		s *= 0x9e3779b97f4a7c15
+		if s >= bestScore {
+			best, bestScore = label, s
+		}
+	}
+	score(c.set.Label)
+	for label := range c.nodes {
+		if label != c.set.Label {
+			score(label)
+		}
+	}
+	return best == c.set.Label
+}
+
+func (c *Core) teamSettings(name string) *config.Team {
+	for i := range c.set.Cluster.Teams {
+		if c.set.Cluster.Teams[i].Name == name {
+			return &c.set.Cluster.Teams[i]
+		}
+	}
+	return nil
+}
+
+// round is one conditional write to a team's records.
+type round struct {
+	team      *team
+	pages     map[string]*page // drafts of the pages it changes
+	done      map[wire.JobID]TaskSet
+	donePages map[string]bool
+	conds     map[string]wire.Ledger
+	places    bool
+	bump      bool
+	skip      map[wire.MachineID]bool
+	tell      map[wire.MachineID]bool // machines with new orders afterwards
+	ops       int
+	bytes     int
+}
+
+func (c *Core) newRound(t *team) *round {
+	return &round{team: t, pages: map[string]*page{}, done: map[wire.JobID]TaskSet{}, donePages: map[string]bool{},
+		conds: map[string]wire.Ledger{}, skip: map[wire.MachineID]bool{}, tell: map[wire.MachineID]bool{}}
+}
+
+// draft is the page to change in this round.
+func (r *round) draft(p *page) *page {
+	d := r.pages[p.key]
+	if d == nil {
+		d = &page{key: p.key, team: p.team, zone: p.zone, n: p.n, stamp: p.stamp, size: p.size, entries: slices.Clone(p.entries)}
+		r.pages[p.key] = d
+		r.ops++
+		r.bytes += p.size
+	}
+	return d
+}
+
+// view is a page as the round would leave it.
+func (r *round) view(p *page) *page {
+	if d := r.pages[p.key]; d != nil {
+		return d
+	}
+	return p
+}
+
+func (r *round) empty() bool { return len(r.pages) == 0 && len(r.done) == 0 }
+
+// fits reports whether the round may still take on more changes.
+func (c *Core) fits(r *round, ops int) bool {
+	limits := &c.set.Cluster.State
+	conds := len(r.conds) + len(r.team.pages) + len(c.set.Cluster.Zones) + 4
+	return r.ops+ops < limits.TxnOps && conds <= 4*limits.TxnOps && r.bytes < maxTxnBytes
+}
+
+// plan runs one pass over all that waits, if there is reason to.
+func (c *Core) plan() {
+	if !c.ready || !c.whole() || !c.stateFresh() || !c.after(c.nextPlan) {
+		return
+	}
+	c.reindex()
+	if !c.dirty && !c.after(c.nextPlan.Add(idlePlan)) {
+		return
+	}
+	c.dirty = false
+	c.nextPlan = c.now.Add(planEvery)
+	rounds := map[string]*round{}
+	for _, name := range sortedKeys(c.teams) {
+		t := c.teams[name]
+		if t.writing != nil || !c.after(t.notBefore) {
+			continue
+		}
+		r := c.newRound(t)
+		rounds[name] = r
+		c.takeProofs(r)
+	}
+	c.mendGangs(rounds)
+	c.drain(rounds)
+	c.place(rounds)
+	for _, name := range sortedKeys(rounds) {
+		if r := rounds[name]; !r.empty() {
+			c.write(r)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// takeProofs removes what is proven to be gone and fences what may be. Silence
+// alone proves nothing.
+func (c *Core) takeProofs(r *round) {
+	for _, key := range sortedKeys(r.team.pages) {
+		p := r.team.pages[key]
+		for i := range p.entries {
+			if !c.fits(r, 3) {
+				return
+			}
+			c.takeProof(r, p, &p.entries[i])
+		}
+	}
+}
+
+func (c *Core) takeProof(r *round, p *page, e *Entry) {
+	m := c.machines[e.Machine]
+	if m == nil {
+		return
+	}
+	if m.gone {
+		r.remove(p, e, e.Tasks)
+		return
+	}
+	rep := m.direct
+	if rep == nil || rep.Shift < e.Shift {
+		return
+	}
+	if rep.Shift > e.Shift {
+		// The worker's lease ran out: it killed everything, and obeys no command
+		// that was meant for the session before.
+		r.remove(p, e, e.Tasks)
+		return
+	}
+	j := c.jobs[e.Job]
+	var gone, done, lacking TaskSet
+	for i := range e.Tasks.All {
+		t := m.directTasks[e.key(i)]
+		switch {
+		case t == nil:
+			lacking = lacking.Add(i)
+		case t.State == wire.TaskExited:
+			gone = gone.Add(i)
+			if t.Cause == wire.CauseDone && j != nil && e.Shape != wire.ShapeService {
+				done = done.Add(i)
+			}
+		}
+	}
+	if !lacking.Empty() {
+		switch {
+		case j == nil || e.Halt != HaltNo:
+			if e.Halt != HaltNo && e.Fence > 0 {
+				if rep.Baton >= e.Fence {
+					gone = gone.With(lacking)
+				}
+				break
+			}
+			// A launch may still be under way; fence it off.
+			c.fence(r, p, e, func(d *Entry) {
+				if d.Halt == HaltNo {
+					d.Halt = HaltAtOnce
+				}
+			})
+		case !c.live(e.Launcher):
+			// Its launcher is gone: take over, with a fence so that a launch it
+			// sent is dead or in the next report.
+			c.fence(r, p, e, func(d *Entry) { d.Launcher = c.boot })
+		}
+	}
+	if gone.Empty() {
+		return
+	}
+	if !done.Empty() {
+		if e.Shape == wire.ShapeGang {
+			done = Span(0, j.spec.Tasks) // they complete together
+		}
+		ends := j.done.With(r.done[e.Job]).With(done).Len() == j.spec.Tasks
+		if _, ok := r.done[e.Job]; !ok {
+			r.ops += 2
+			r.conds[jobKey(e.Job)] = j.stamp
+		}
+		for i := range done.All {
+			if key := doneKey(e.Job, i/c.donePageSize()); !ends && !r.donePages[key] {
+				r.donePages[key] = true
+				r.ops++
+			}
+		}
+		r.done[e.Job] = r.done[e.Job].With(done)
+	}
+	r.remove(p, e, gone)
+}
+
+// fence changes an entry and raises the baton in the same write.
+func (c *Core) fence(r *round, p *page, e *Entry, change func(*Entry)) {
+	d := r.draft(p)
+	for i := range d.entries {
+		if x := &d.entries[i]; sameEntry(x, e) {
+			change(x)
+			x.Fence = c.baton + 1
+			if !r.bump {
+				r.bump = true
+				r.ops++
+				r.conds[batonKey] = c.ver[batonKey]
+			}
+			r.tell[e.Machine] = true
+		}
+	}
+}
+
+func sameEntry(a, b *Entry) bool {
+	return a.Job == b.Job && a.Attempt == b.Attempt && a.Machine == b.Machine && a.Halt == b.Halt
+}
+
+// remove takes tasks out of an entry.
+func (r *round) remove(p *page, e *Entry, gone TaskSet) {
+	d := r.draft(p)
+	kept := d.entries[:0]
+	for _, x := range d.entries {
+		if x.Job == e.Job && x.Attempt == e.Attempt && x.Machine == e.Machine {
+			x.Tasks = x.Tasks.Without(gone)
+			if x.Tasks.Empty() {
+				continue
+			}
+		}
+		kept = append(kept, x)
+	}
+	d.entries = kept
+}
+
+// halt marks tasks of an entry to be stopped.
+func (c *Core) halt(r *round, p *page, e *Entry, tasks TaskSet, how Halt) {
+	d := r.draft(p)
+	for i := range d.entries {
+		x := &d.entries[i]
+		if !sameEntry(x, e) || x.Halt >= how {
+			continue
+		}
+		stopped := x.Tasks.And(tasks)
+		if stopped.Empty() {
+			continue
+		}
+		r.tell[e.Machine] = true
+		rest := x.Tasks.Without(stopped)
+		part := *x
+		part.Tasks = stopped
+		if d.size+entryRoom(&part) > c.pageLimit() {
+			rest = TaskSet{} // no room to split the entry: stop all of it
+		}
+		// What was fenced was the launcher before, not this stop.
+		if rest.Empty() {
+			x.Halt, x.Fence = how, 0
+			return
+		}
+		x.Tasks = rest
+		part.Halt, part.Fence = how, 0
+		d.size += entryRoom(&part)
+		d.entries = append(d.entries, part)
+		return
+	}
+}
+
+// located is an entry with the page it stands on.
+type located struct {
+	page  *page
+	entry *Entry
+}
+
+// entriesOf finds a job's entries, as its team's round would leave them.
+func (c *Core) entriesOf(r *round, id wire.JobID) []located {
+	var out []located
+	for _, key := range sortedKeys(r.team.pages) {
+		p := r.view(r.team.pages[key])
+		for i := range p.entries {
+			if p.entries[i].Job == id {
+				out = append(out, located{r.team.pages[key], &p.entries[i]})
+			}
+		}
+	}
+	return out
+}
+
+// haltJob marks all of a job's tasks to be stopped.
+func (c *Core) haltJob(r *round, id wire.JobID, how Halt) {
+	for _, l := range c.entriesOf(r, id) {
+		if l.entry.Halt < how {
+			e := *l.entry
+			c.halt(r, l.page, &e, e.Tasks, how)
+		}
+	}
+}
+
+// mendGangs stops what is left of a gang that lost a task, so that it can start
+// again as a whole.
+func (c *Core) mendGangs(rounds map[string]*round) {
+	for _, id := range c.jobIDs() {
+		j := c.jobs[id]
+		r := rounds[j.spec.Team]
+		if j.spec.Shape != wire.ShapeGang || r == nil || !c.mine(j.spec.Team) || !c.fits(r, 4) {
+			continue
+		}
+		if _, ending := r.done[id]; ending {
+			continue
+		}
+		var placed TaskSet
+		for _, l := range c.entriesOf(r, id) {
+			placed = placed.With(l.entry.Tasks)
+		}
+		if n := placed.Len(); n > 0 && n < j.spec.Tasks {
+			c.haltJob(r, id, HaltAtOnce)
+		}
+	}
+}
+
+func (c *Core) jobIDs() []wire.JobID {
+	ids := make([]wire.JobID, 0, len(c.jobs))
+	for id := range c.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// drain stops tasks on machines that the cloud is about to take, as late as
+// they can still save.
+func (c *Core) drain(rounds map[string]*round) {
+	for id, m := range c.machines {
+		if m.recallAt == 0 {
+			continue
+		}
+		for _, e := range c.onMachine[id] {
+			j := c.jobs[e.Job]
+			if j == nil || e.Halt != HaltNo || !c.mine(j.spec.Team) {
+				continue
+			}
+			r := rounds[j.spec.Team]
+			if r == nil || !c.fits(r, 4) {
+				continue
+			}
+			saves := j.spec.SavepointS > 0
+			left := m.recallAt.Sub(c.now).Seconds()
+			if saves && left < j.spec.StashS+2*saveMargin || j.spec.Shape == wire.ShapeService {
+				if j.spec.Shape == wire.ShapeGang {
+					c.haltJob(r, j.id, HaltSave)
+					continue
+				}
+				for _, l := range c.entriesOf(r, j.id) {
+					if l.entry.Machine == id && l.entry.Halt == HaltNo {
+						x := *l.entry
+						c.halt(r, l.page, &x, x.Tasks, HaltSave)
+					}
+				}
+			}
+		}
+	}
+}
+
+// write commits a round and, once it stands, tells the machines.
+func (c *Core) write(r *round) {
+	t := r.team
+	txn := wire.Transaction{}
+	for _, key := range sortedKeys(r.pages) {
+		d := r.pages[key]
+		if p := t.pages[key]; p != nil && slices.EqualFunc(p.entries, d.entries, equalEntry) {
+			continue
+		}
+		r.conds[key] = d.stamp
+		txn.Then = append(txn.Then, put(key, pageValue{d.entries}))
+	}
+	ended := 0
+	for id, done := range r.done {
+		j := c.jobs[id]
+		all := j.done.With(done)
+		if all.Len() == j.spec.Tasks {
+			ended++
+			r.conds[finalKey(id)] = 0
+			txn.Then = append(txn.Then,
+				put(finalKey(id), finalRecord{Status: wire.StatusDone, Done: j.spec.Tasks}), wire.Change{Drop: jobKey(id)})
+			continue
+		}
+		size := c.donePageSize()
+		touched := map[int]bool{}
+		for i := range done.All {
+			touched[i/size] = true
+		}
+		for n := range touched {
+			set := j.done.With(done).And(Span(n*size, (n+1)*size))
+			txn.Then = append(txn.Then, put(doneKey(id, n), set))
+		}
+	}
+	if r.bump {
+		txn.Then = append(txn.Then, put(batonKey, c.baton+1))
+	}
+	if len(txn.Then) == 0 {
+		return
+	}
+	class := ClassRest
+	if r.places {
+		class = ClassUrgent
+		// Every record that the decision read is checked: all the team's zones,
+		// and that no page was added to them.
+		for _, p := range t.pages {
+			r.conds[p.key] = p.stamp
+		}
+		for _, zone := range c.set.Cluster.Zones {
+			key := pageKey(t.name, zone, t.count[zone])
+			if _, added := r.pages[key]; !added {
+				r.conds[key] = 0
+			} else {
+				r.conds[pageKey(t.name, zone, t.count[zone]+1)] = 0
+			}
+		}
+	}
+	for _, key := range sortedKeys(r.conds) {
+		txn.If = append(txn.If, wire.Condition{Key: key, Stamp: r.conds[key]})
+	}
+	t.writing = r
+	sent := c.now
+	c.commit(class, txn, func(res Committed) {
+		c.dirty = true
+		if res.Outcome == Done {
+			t.writing = nil
+			if r.places {
+				t.tries, t.locked = 0, nil
+			}
+			c.reindex()
+			for m := range r.tell {
+				if m := c.machines[m]; m != nil {
+					c.pushNow(m)
+				}
+			}
+			if r.bump {
+				c.barrier(func(bool) {})
+			}
+			return
+		}
+		if res.Outcome == Conflict && r.places {
+			c.lost(t, r, sent)
+		}
+		if res.Outcome == NotDone {
+			t.writing = nil
+			t.notBefore = c.now.Add(notDoneWait)
+			return
+		}
+		// Reread before the next round: a lost write means that others know more,
+		// and an unanswered one may have gone through.
+		c.barrier(func(ok bool) {
+			t.writing = nil
+			c.dirty = true
+			if !ok {
+				t.notBefore = c.now.Add(notDoneWait)
+			}
+		})
+	})
+}
+
+// lost notes a lost placement write: its machines count as locked, and the
+// next tries probe others at random, within bounds.
+func (c *Core) lost(t *team, r *round, sent Time) {
+	if t.tries == 0 {
+		t.firstTry = sent
+		t.locked = map[wire.MachineID]bool{}
+	}
+	t.tries++
+	for m := range r.skip {
+		t.locked[m] = true
+	}
+	if t.tries >= probeTries || c.now.Sub(t.firstTry) > probeTime {
+		t.tries, t.locked = 0, nil
+		t.placeFrom = c.now.Add(busyPause)
+		c.log.Debug("placement busy", "team", t.name)
+	}
+}
+
+func equalEntry(a, b Entry) bool {
+	ta, tb := a.Tasks, b.Tasks
+	a.Tasks, b.Tasks = TaskSet{}, TaskSet{}
+	return a.Job == b.Job && a.Attempt == b.Attempt && a.Machine == b.Machine && a.Shift == b.Shift &&
+		a.Launcher == b.Launcher && a.Fence == b.Fence && a.Halt == b.Halt && slices.Equal(ta.ranges, tb.ranges)
+}
+
+// donePageSize is how many tasks one done record covers, so that even the worst
+// set of ranges stays under the value limit: two tasks in three, in pairs, take
+// "[99997,99998]," each.
+func (c *Core) donePageSize() int { return int(c.set.Cluster.State.ValueKB * 1024 / 6) }
+
+// entryRoom is the most that an entry can come to take on its page, as tasks
+// leave it one by one.
+func entryRoom(e *Entry) int {
+	return 210 + len(e.Job) + len(e.Machine) + 7*(e.Tasks.Len()/2+1)
+}
+
+func (p *page) measure() {
+	p.size = len(`{"e":[]}`)
+	for i := range p.entries {
+		p.size += entryRoom(&p.entries[i])
+	}
+}
+
+func (c *Core) pageLimit() int { return int(c.set.Cluster.State.ValueKB * 1024) }
+
+// add puts a new entry on a page of its zone that has room, or on a new one.
+// It reports whether the round could take it.
+func (c *Core) add(r *round, zone string, e Entry) bool {
+	size := entryRoom(&e)
+	t := r.team
+	for n := 0; n <= t.count[zone]; n++ {
+		key := pageKey(t.name, zone, n)
+		p := t.pages[key]
+		if p == nil {
+			if n < t.count[zone] {
+				return false // a page that we have not read
+			}
+			p = &page{key: key, team: t.name, zone: zone, n: n, size: len(`{"e":[]}`)}
+		}
+		if cur := r.view(p); cur.size+size > c.pageLimit() {
+			continue
+		}
+		if r.pages[key] == nil && !c.fits(r, 1) {
+			return false
+		}
+		d := r.draft(p)
+		d.entries = append(d.entries, e)
+		d.size += size
+		r.bytes += size
+		return true
+	}
+	return false
+}
+
+// hosts builds the fleet as placement sees it: what is on the machines by the
+// records, with the rounds that are being written.
+func (c *Core) hosts(rounds map[string]*round) (placement.Fleet, map[wire.MachineID]*placement.Host) {
+	var fleet placement.Fleet
+	byID := map[wire.MachineID]*placement.Host{}
+	ids := make([]wire.MachineID, 0, len(c.machines))
+	for id := range c.machines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		m := c.machines[id]
+		t := c.kind(m.kind)
+		if t == nil || m.newest == nil || m.gone {
+			continue
+		}
+		h := &placement.Host{ID: id, Labels: labels(m.kind, m.zone, m.spot), Total: amountOf(t),
+			Free: amountOf(t), Slots: maxPerHost, Images: map[string]bool{}, Price: t.Rate}
+		if m.spot {
+			h.Price = t.MarketPrice
+		}
+		if !c.after(m.badUntil) {
+			h.Penalty = 1
+		}
+		for image := range m.images {
+			h.Images[image] = true
+		}
+		fleet = append(fleet, h)
+		byID[id] = h
+	}
+	for _, name := range sortedKeys(c.teams) {
+		t := c.teams[name]
+		r := t.writing
+		if r == nil {
+			r = rounds[name]
+		}
+		for _, p := range t.planPages(r) {
+			for i := range p.entries {
+				e := &p.entries[i]
+				h := byID[e.Machine]
+				if h == nil {
+					// Rules with within read the zone of an unknown machine too.
+					h = &placement.Host{ID: e.Machine, Labels: placement.Tags{placement.LabelZone: p.zone}}
+					byID[e.Machine] = h
+					fleet = append(fleet, h)
+				}
+				n := e.Tasks.Len()
+				h.Free = h.Free.Plus(e.need(), -float64(n))
+				h.Slots -= n
+				g := placement.Group{Team: name, Tags: e.tags(), Count: n}
+				if e.Halt != HaltNo || c.jobs[e.Job] == nil {
+					h.Freeing = h.Freeing.Plus(e.need(), float64(n))
+					g.Stopping = true
+				}
+				h.Groups = append(h.Groups, g)
+			}
+		}
+	}
+	return fleet, byID
+}
+
+// planPages are the team's pages as a round leaves them.
+func (t *team) planPages(r *round) []*page {
+	out := make([]*page, 0, len(t.pages))
+	for _, key := range sortedKeys(t.pages) {
+		p := t.pages[key]
+		if r != nil {
+			p = r.view(p)
+		}
+		out = append(out, p)
+	}
+	if r != nil {
+		for _, key := range sortedKeys(r.pages) {
+			if t.pages[key] == nil {
+				out = append(out, r.pages[key])
+			}
+		}
+	}
+	return out
+}
+
+// usable reports whether a machine may take new tasks now.
+func (c *Core) usable(m *machine) bool {
+	if m == nil || m.newest == nil || m.gone || m.recallAt != 0 || m.status == wire.MachineFailed {
+		return false
+	}
+	if d, doomed := c.dooms[m.id]; doomed && !d.Over {
+		return false
+	}
+	return c.now.Sub(m.heard) < config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+reportSlack &&
+		slices.Contains(c.set.Cluster.Zones, m.zone)
+}
+
+// waiting is a job with tasks that are not placed.
+type waiting struct {
+	job      *job
+	missing  TaskSet
+	zone     string // where its tasks are, if it is to stay together
+	promised bool   // within its team's guarantee
+}
+
+// place gives waiting tasks machines. It plans for all teams, so that what this
+// controller places leaves room for more urgent work that others will place,
+// and writes only for those that it answers for.
+func (c *Core) place(rounds map[string]*round) {
+	if len(c.catalogue) == 0 {
+		return
+	}
+	fleet, byID := c.hosts(rounds)
+	used := map[string]placement.Amount{}
+	placed := map[wire.JobID]TaskSet{}
+	zones := map[wire.JobID]string{}
+	for name, t := range c.teams {
+		r := t.writing
+		if r == nil {
+			r = rounds[name]
+		}
+		for _, p := range t.planPages(r) {
+			for i := range p.entries {
+				e := &p.entries[i]
+				used[name] = used[name].Plus(e.need(), float64(e.Tasks.Len()))
+				placed[e.Job] = placed[e.Job].With(e.Tasks)
+				zones[e.Job] = p.zone
+			}
+		}
+	}
+	queue := c.queue(rounds, placed, zones)
+	c.backlog = c.backlog[:0]
+	reserved := false
+	for _, w := range queue {
+		if w.job.spec.Rank != wire.RankCritical && !reserved {
+			reserved = true
+			c.reserve(fleet)
+		}
+		c.placeJob(rounds, fleet, byID, used, w)
+	}
+	if !reserved {
+		c.reserve(fleet)
+	}
+}
+
+// queue is all that waits, most urgent first.
+func (c *Core) queue(rounds map[string]*round, placed map[wire.JobID]TaskSet, zones map[wire.JobID]string) []waiting {
+	promised := c.promised()
+	var queue []waiting
+	for _, id := range c.jobIDs() {
+		j := c.jobs[id]
+		missing := Span(0, j.spec.Tasks).Without(j.done).Without(placed[id])
+		if r := c.teamOf(j.spec.Team).writing; r != nil {
+			missing = missing.Without(r.done[id])
+		} else if r := rounds[j.spec.Team]; r != nil {
+			missing = missing.Without(r.done[id])
+		}
+		if missing.Empty() || j.spec.Shape == wire.ShapeGang && missing.Len() < j.spec.Tasks {
+			continue
+		}
+		w := waiting{job: j, missing: missing, promised: promised[id]}
+		if j.spec.Together {
+			w.zone = zones[id]
+		}
+		queue = append(queue, w)
+	}
+	slices.SortFunc(queue, func(a, b waiting) int {
+		ra, rb := a.job.spec.Rank.Order(), b.job.spec.Rank.Order()
+		if ra == 0 || rb == 0 {
+			if d := cmp.Compare(ra, rb); d != 0 {
+				return d
+			}
+		}
+		return cmp.Or(cmp.Compare(ra, rb), -cmp.Compare(btoi(a.promised), btoi(b.promised)),
+			cmp.Compare(a.job.due(), b.job.due()), cmp.Compare(a.job.at, b.job.at), cmp.Compare(a.job.id, b.job.id))
+	})
+	return queue
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// due is when the job should be complete; jobs without a deadline come in order
+// of their submission after those that have one.
+func (j *job) due() int64 {
+	if j.spec.DueS > 0 {
+		return j.at + int64(j.spec.DueS*1000)
+	}
+	return 1 << 62
+}
+
+// promised finds the jobs that lie within their team's guarantee: those that fit
+// into it together with the team's earlier jobs.
+func (c *Core) promised() map[wire.JobID]bool {
+	byTeam := map[string][]*job{}
+	for _, j := range c.jobs {
+		byTeam[j.spec.Team] = append(byTeam[j.spec.Team], j)
+	}
+	out := map[wire.JobID]bool{}
+	for name, jobs := range byTeam {
+		set := c.teamSettings(name)
+		if set == nil {
+			continue
+		}
+		slices.SortFunc(jobs, func(a, b *job) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id)) })
+		var sum placement.Amount
+		for _, j := range jobs {
+			sum = sum.Plus(j.req.Need, float64(j.spec.Tasks))
+			if sum.Cores <= set.CPUs+1e-6 && sum.Accelerators <= set.GPUs+1e-6 {
+				out[j.id] = true
+			}
+		}
+	}
+	return out
+}
+
+func (c *Core) placeJob(rounds map[string]*round, fleet placement.Fleet, byID map[wire.MachineID]*placement.Host, used map[string]placement.Amount, w waiting) {
+	j := w.job
+	team := j.spec.Team
+	set := c.teamSettings(team)
+	if set == nil || !c.after(j.notBefore) {
+		return
+	}
+	// The limit counts whatever may still be on a machine.
+	count := placement.Amount{Cores: set.CPUsMax, Accelerators: set.GPUsMax, MemGB: 1e18}.
+		Plus(used[team], -1).Times(j.req.Need, w.missing.Len())
+	whole := j.spec.Shape == wire.ShapeGang
+	if count == 0 || whole && count < j.spec.Tasks {
+		return
+	}
+	since, fresh := c.fresh[j.id]
+	fresh = fresh && c.now.Sub(since) < freshTime
+	r := rounds[team]
+	t := c.teamOf(team)
+	act := r != nil && t.writing == nil && c.after(t.placeFrom) && (fresh || c.mine(team)) && c.fits(r, 5)
+	o := placement.Options{Relax: true, Whole: whole, Rand: c.rand, Usable: func(h *placement.Host) bool {
+		until, avoid := j.avoid[h.ID]
+		return c.usable(c.machines[h.ID]) && (!avoid || c.after(until))
+	}}
+	if act && t.tries > 0 {
+		o.Probes, o.Skip, o.Relax = probeHosts, t.locked, false
+	}
+	choices := fleet.Choose(j.req, count, w.zone, o)
+	missing := w.missing
+	attempt := wire.Attempt(0)
+	for _, ch := range choices {
+		var tasks TaskSet
+		tasks, missing = missing.Take(ch.Count)
+		count -= ch.Count
+		used[team] = used[team].Plus(j.req.Need, float64(ch.Count))
+		if !act {
+			continue
+		}
+		if attempt == 0 {
+			attempt = wire.Attempt(c.serial())
+		}
+		m := c.machines[ch.Machine]
+		e := Entry{Job: j.id, Attempt: attempt, Machine: m.id, Shift: m.newest.Shift, Launcher: c.boot, Tasks: tasks,
+			Cores: j.spec.Cores, Accelerators: j.spec.Accelerators, MemGB: j.spec.MemGB,
+			Rank: j.spec.Rank.Order(), Shape: j.spec.Shape}
+		if !c.fits(r, 1) || !c.add(r, m.zone, e) {
+			act = false
+			if whole {
+				// A gang is placed as a whole or not at all.
+				c.unadd(r, attempt)
+			}
+			continue
+		}
+		r.places = true
+		r.conds[jobKey(j.id)] = j.stamp
+		r.conds[doomKey(m.id)] = c.ver[doomKey(m.id)]
+		r.skip[m.id] = true
+		r.tell[m.id] = true
+		if ch.Relaxed {
+			c.log.Info("preferred rule relaxed", "job", j.id, "machine", m.id)
+		}
+	}
+	if count > 0 {
+		c.wanting(rounds, fleet, byID, w, count)
+	}
+}
+
+// unadd takes an attempt's new entries out of the round again.
+func (c *Core) unadd(r *round, attempt wire.Attempt) {
+	for _, d := range r.pages {
+		d.entries = slices.DeleteFunc(d.entries, func(e Entry) bool { return e.Attempt == attempt })
+	}
+}
+
+// wanting deals with tasks that found no room: they wait for room that is being
+// freed, or have less urgent work stopped, or else stand in the backlog that
+// the buyer sees.
+func (c *Core) wanting(rounds map[string]*round, fleet placement.Fleet, byID map[wire.MachineID]*placement.Host, w waiting, count int) {
+	j := w.job
+	rules := j.req.Enforced
+	if w.zone != "" {
+		rules = append(slices.Clip(rules), placement.InZone(w.zone))
+	}
+	for _, h := range fleet {
+		if count == 0 {
+			return
+		}
+		if !c.usable(c.machines[h.ID]) || !fleet.Holds(rules, j.spec.Team, h) {
+			continue
+		}
+		n := min(h.Free.Plus(h.Freeing, 1).Times(j.req.Need, count))
+		if n > 0 {
+			h.Free = h.Free.Plus(j.req.Need, -float64(n))
+			count -= n
+		}
+	}
+	if j.spec.Rank != wire.RankBestEffort && c.mine(j.spec.Team) {
+		count = c.preempt(rounds, fleet, rules, j, count)
+	}
+	if count > 0 {
+		c.backlog = append(c.backlog, demand{job: j, count: count, promised: w.promised})
+	}
+}
+
+// preempt stops tasks of lower rank to make room and returns how many tasks
+// still have none.
+func (c *Core) preempt(rounds map[string]*round, fleet placement.Fleet, rules []placement.Node, j *job, count int) int {
+	rank := j.spec.Rank.Order()
+	need := j.req.Need
+	type option struct {
+		host *placement.Host
+		cost float64
+	}
+	var options []option
+	for _, h := range fleet {
+		if !c.usable(c.machines[h.ID]) || !h.Total.Covers(need) || !fleet.Holds(rules, j.spec.Team, h) {
+			continue
+		}
+		room := h.Free.Plus(h.Freeing, 1)
+		for _, e := range c.onMachine[h.ID] {
+			if c.preemptable(rounds, e, rank) {
+				room = room.Plus(e.need(), float64(e.Tasks.Len()))
+			}
+		}
+		if room.Covers(need) {
+			options = append(options, option{h, h.Free.Cores})
+		}
+	}
+	slices.SortFunc(options, func(a, b option) int {
+		return cmp.Or(-cmp.Compare(a.cost, b.cost), cmp.Compare(a.host.ID, b.host.ID))
+	})
+	for _, o := range options {
+		for count > 0 && c.makeRoom(rounds, o.host, need, rank) {
+			o.host.Free = o.host.Free.Plus(need, -1)
+			count--
+			c.log.Debug("work stopped for a more urgent job", "job", j.id, "machine", o.host.ID)
+		}
+	}
+	return count
+}
+
+func (c *Core) preemptable(rounds map[string]*round, e *Entry, rank int) bool {
+	j := c.jobs[e.Job]
+	if j == nil || e.Halt != HaltNo || e.Rank <= rank {
+		return false
+	}
+	r := rounds[j.spec.Team]
+	return r != nil && c.fits(r, 4)
+}
+
+// makeRoom halts the least urgent tasks of a machine until there is room, or
+// none if there would not be.
+func (c *Core) makeRoom(rounds map[string]*round, h *placement.Host, need placement.Amount, rank int) bool {
+	room := h.Free.Plus(h.Freeing, 1)
+	if room.Covers(need) {
+		return true
+	}
+	var victims []*Entry
+	for _, e := range c.onMachine[h.ID] {
+		if c.preemptable(rounds, e, rank) {
+			victims = append(victims, e)
+		}
+	}
+	slices.SortFunc(victims, func(a, b *Entry) int {
+		return cmp.Or(-cmp.Compare(a.Rank, b.Rank), -cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Job, b.Job))
+	})
+	type stop struct {
+		e     *Entry
+		tasks TaskSet
+	}
+	var stops []stop
+	for _, e := range victims {
+		left := c.unhalted(rounds, e)
+		for !left.Empty() && !room.Covers(need) {
+			var one TaskSet
+			if e.Shape == wire.ShapeGang {
+				one, left = left, TaskSet{}
+			} else {
+				_, last := left.Take(left.Len() - 1)
+				one, left = last, left.Without(last)
+			}
+			stops = append(stops, stop{e, one})
+			room = room.Plus(e.need(), float64(one.Len()))
+		}
+	}
+	if !room.Covers(need) {
+		return false
+	}
+	for _, s := range stops {
+		r := rounds[c.jobs[s.e.Job].spec.Team]
+		if s.e.Shape == wire.ShapeGang {
+			c.haltJob(r, s.e.Job, HaltSave)
+		} else {
+			for _, l := range c.entriesOf(r, s.e.Job) {
+				if l.entry.Machine == s.e.Machine && l.entry.Attempt == s.e.Attempt && l.entry.Halt == HaltNo {
+					x := *l.entry
+					c.halt(r, l.page, &x, s.tasks, HaltSave)
+				}
+			}
+		}
+		h.Freeing = h.Freeing.Plus(s.e.need(), float64(s.tasks.Len()))
+	}
+	return true
+}
+
+// unhalted is what of an entry the rounds have not stopped yet.
+func (c *Core) unhalted(rounds map[string]*round, e *Entry) TaskSet {
+	var left TaskSet
+	r := rounds[c.jobs[e.Job].spec.Team]
+	for _, l := range c.entriesOf(r, e.Job) {
+		if l.entry.Machine == e.Machine && l.entry.Attempt == e.Attempt && l.entry.Halt == HaltNo {
+			left = left.With(l.entry.Tasks)
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/internal/core/store.go
@@ -0,0 +1,389 @@
+package core
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"lilacrill/internal/placement"
+	"lilacrill/wire"
+)
+
+// store is the cache of the state service's keys, kept by its feed.
+type store struct {
+	// feed is the revision up to which the cache is complete.
+	feed wire.Ledger
+	// written is the last revision of our own that the cache holds, which may
+	// be ahead of feed.
+	written wire.Ledger
+	ver     map[string]wire.Ledger // stamps of cached keys, and of dropped ones until the feed is past them
+	dropped map[string]wire.Ledger
+
+	// baton is adopted from the feed only. So a command that carries it is
+	// based on everything written before the baton was raised: that is what
+	// makes a raised baton a fence.
+	baton      wire.Baton
+	batonStamp wire.Ledger
+
+	jobs     map[wire.JobID]*job
+	finals   map[wire.JobID]finalRecord
+	orphans  map[string]wire.Ledger // done records, all of them, for cleaning up
+	teams    map[string]*team
+	nodes    map[string]wire.Baton
+	dooms    map[wire.MachineID]doomRecord
+	buyer    wire.Baton
+	changed  bool // pages or jobs changed since the last index
+	stateOK  Time
+	watching bool
+
+	barrierOpen bool
+	waiting     []func(ok bool) // served by the barrier in flight
+	queued      []func(ok bool) // served by the one after it
+}
+
+// job is a job that is not over.
+type job struct {
+	id    wire.JobID
+	spec  wire.JobSpec
+	at    int64
+	stamp wire.Ledger
+	pages map[int]TaskSet
+	done  TaskSet
+	req   *placement.Request
+
+	// What follows is only known here.
+	notBefore Time
+	errors    map[wire.MachineID]bool
+	avoid     map[wire.MachineID]Time
+	placeable Time // since when a steward could have placed it
+}
+
+// team is a team's placement records.
+type team struct {
+	name  string
+	pages map[string]*page
+	count map[string]int // zone to number of pages
+	plannerTeam
+}
+
+// maxFinals bounds the remembered final states; older ones are fetched again.
+const maxFinals = 200_000
+
+func (s *store) init() {
+	s.ver = map[string]wire.Ledger{}
+	s.dropped = map[string]wire.Ledger{}
+	s.jobs = map[wire.JobID]*job{}
+	s.finals = map[wire.JobID]finalRecord{}
+	s.orphans = map[string]wire.Ledger{}
+	s.teams = map[string]*team{}
+	s.nodes = map[string]wire.Baton{}
+	s.dooms = map[wire.MachineID]doomRecord{}
+}
+
+func (s *store) teamOf(name string) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{name: name, pages: map[string]*page{}, count: map[string]int{}}
+		s.teams[name] = t
+	}
+	return t
+}
+
+// apply takes one change into the cache, unless it is older than what is
+// there. A nil value drops the key.
+func (c *Core) apply(key string, value json.RawMessage, stamp wire.Ledger) {
+	if id, ok := strings.CutPrefix(key, finalPrefix); ok {
+		// Written once and never changed, so there is no version to keep.
+		var f finalRecord
+		if err := json.Unmarshal(value, &f); err != nil || !f.Status.Final() {
+			c.log.Error("final state not understood", "key", key, "err", err)
+			return
+		}
+		c.remember(wire.JobID(id), f)
+		return
+	}
+	if stamp <= c.ver[key] {
+		return
+	}
+	c.ver[key] = stamp
+	if value == nil {
+		c.dropped[key] = stamp
+	} else {
+		delete(c.dropped, key)
+	}
+	var err error
+	switch {
+	case key == batonKey:
+		var n wire.Baton
+		if value != nil {
+			err = json.Unmarshal(value, &n)
+		}
+		if err == nil && n > c.baton {
+			c.baton, c.batonStamp = n, stamp
+		}
+	case key == buyerKey:
+		c.buyer = 0
+		if value != nil {
+			err = json.Unmarshal(value, &c.buyer)
+		}
+	case strings.HasPrefix(key, nodePrefix):
+		label := strings.TrimPrefix(key, nodePrefix)
+		if value == nil {
+			delete(c.nodes, label)
+		} else {
+			var n nodeRecord
+			if err = json.Unmarshal(value, &n); err == nil {
+				c.nodes[label] = n.Boot
+			}
+		}
+		c.do(Share{max(len(c.nodes), 1)})
+	case strings.HasPrefix(key, jobPrefix):
+		err = c.applyJob(wire.JobID(strings.TrimPrefix(key, jobPrefix)), value, stamp)
+	case strings.HasPrefix(key, donePrefix):
+		err = c.applyDone(key, value, stamp)
+	case strings.HasPrefix(key, pagePrefix):
+		err = c.applyPage(key, value, stamp)
+	case strings.HasPrefix(key, doomPrefix):
+		m := wire.MachineID(strings.TrimPrefix(key, doomPrefix))
+		if value == nil {
+			delete(c.dooms, m)
+		} else {
+			var d doomRecord
+			err = json.Unmarshal(value, &d)
+			c.dooms[m] = d
+		}
+	}
+	if err != nil {
+		c.log.Error("record in the state service not understood", "key", key, "err", err)
+	}
+}
+
+func (c *Core) remember(id wire.JobID, f finalRecord) {
+	if len(c.finals) >= maxFinals {
+		for old := range c.finals {
+			delete(c.finals, old)
+			break
+		}
+	}
+	c.finals[id] = f
+}
+
+func (c *Core) applyJob(id wire.JobID, value json.RawMessage, stamp wire.Ledger) error {
+	c.changed = true
+	if value == nil {
+		delete(c.jobs, id)
+		delete(c.fresh, id)
+		return nil
+	}
+	var r jobRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return err
+	}
+	j := c.jobs[id]
+	if j == nil {
+		j = &job{id: id, pages: map[int]TaskSet{}, errors: map[wire.MachineID]bool{}, avoid: map[wire.MachineID]Time{}}
+		c.jobs[id] = j
+	}
+	j.spec, j.at, j.stamp = r.Spec, r.At, stamp
+	j.req = placement.NewRequest(&j.spec)
+	return nil
+}
+
+func (c *Core) applyDone(key string, value json.RawMessage, stamp wire.Ledger) error {
+	id, n, err := parseDoneKey(key)
+	if err != nil {
+		return err
+	}
+	if value == nil {
+		delete(c.orphans, key)
+		return nil
+	}
+	c.orphans[key] = stamp
+	j := c.jobs[id]
+	if j == nil {
+		return nil
+	}
+	var set TaskSet
+	if err := json.Unmarshal(value, &set); err != nil {
+		return err
+	}
+	c.changed = true
+	j.pages[n] = set
+	j.done = j.done.With(set)
+	return nil
+}
+
+func (c *Core) applyPage(key string, value json.RawMessage, stamp wire.Ledger) error {
+	name, zone, n, err := parsePageKey(key)
+	if err != nil {
+		return err
+	}
+	p := &page{key: key, team: name, zone: zone, n: n, stamp: stamp}
+	var v pageValue
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	p.entries = v.Entries
+	p.measure()
+	t := c.teamOf(name)
+	t.pages[key] = p
+	t.count[zone] = max(t.count[zone], n+1)
+	c.changed = true
+	return nil
+}
+
+// load reads everything anew: at the start, and when the feed no longer goes
+// back far enough.
+func (c *Core) load() {
+	c.do(Load{call(c, func(l Loaded) {
+		if l.Outcome != Done {
+			c.loading = false
+			c.nextTry = c.now.Add(retryState)
+			return
+		}
+		c.stateOK = c.now
+		finals := c.finals
+		c.store.init()
+		c.finals = finals
+		// Jobs come before their done records, whatever the order of the keys.
+		for _, e := range l.Entries {
+			if !strings.HasPrefix(e.Key, donePrefix) {
+				c.apply(e.Key, e.Value, e.Stamp)
+			}
+		}
+		for _, e := range l.Entries {
+			if strings.HasPrefix(e.Key, donePrefix) {
+				c.apply(e.Key, e.Value, e.Stamp)
+			}
+		}
+		c.feed = l.First
+		c.catchUp = l.Last
+		c.loading, c.loaded = false, true
+		c.watch()
+	}), loadPrefixes})
+}
+
+// watch keeps one open request on the feed.
+func (c *Core) watch() {
+	if c.watching || !c.loaded {
+		return
+	}
+	c.watching = true
+	block := watchBlock
+	if c.feed < c.catchUp {
+		block = 0
+	}
+	c.do(Follow{Call: call(c, func(f Fed) {
+		c.watching = false
+		if !c.fed(f) {
+			c.watchFrom = c.now.Add(retryState)
+			return
+		}
+		// A short pause lets changes gather: what a busy feed brings is wanted
+		// within a second, not at once.
+		c.watchFrom = c.now.Add(watchPause)
+		if c.feed < c.catchUp {
+			c.watch()
+		}
+	}), Class: ClassUrgent, Under: rootKey, After: c.feed, Block: block})
+}
+
+const (
+	watchBlock = 10 * time.Second
+	watchPause = 40 * time.Millisecond
+	retryState = 250 * time.Millisecond
+)
+
+// fed takes an answer of the feed and reports whether it was one.
+func (c *Core) fed(f Fed) bool {
+	switch f.Outcome {
+	case Done:
+	case TooOld:
+		if c.loaded {
+			c.log.Info("the feed no longer goes back far enough; reading everything again")
+			c.loaded, c.loading = false, false
+		}
+		return false
+	default:
+		return false
+	}
+	c.stateOK = c.now
+	for _, l := range f.Feed.Log {
+		if l.Put != "" {
+			c.apply(l.Put, l.Value, l.Stamp)
+		} else {
+			c.apply(l.Drop, nil, l.Stamp)
+		}
+	}
+	c.feed = max(c.feed, f.Feed.Ledger)
+	for key, stamp := range c.dropped {
+		if stamp <= c.feed {
+			delete(c.dropped, key)
+			delete(c.ver, key)
+		}
+	}
+	return true
+}
+
+// barrier calls then once the cache holds everything that was written before
+// now. All who wait share one request.
+func (c *Core) barrier(then func(ok bool)) {
+	if !c.loaded {
+		then(false)
+		return
+	}
+	c.queued = append(c.queued, then)
+	c.openBarrier()
+}
+
+func (c *Core) openBarrier() {
+	if c.barrierOpen || len(c.queued) == 0 {
+		return
+	}
+	c.barrierOpen = true
+	c.waiting, c.queued = c.queued, nil
+	after := c.feed
+	c.do(Follow{Call: call(c, func(f Fed) {
+		ok := after <= c.feed && c.fed(f)
+		c.barrierOpen = false
+		served := c.waiting
+		c.waiting = nil
+		for _, then := range served {
+			then(ok)
+		}
+		c.openBarrier()
+	}), Class: ClassAccept, Under: rootKey, After: after})
+}
+
+// commit runs a transaction and takes its changes into the cache when it went
+// through. The baton comes by the feed alone (see store.baton).
+func (c *Core) commit(class Class, txn wire.Transaction, then func(Committed)) {
+	c.do(Commit{call(c, func(r Committed) {
+		switch r.Outcome {
+		case Done:
+			c.stateOK = c.now
+			c.written = max(c.written, r.Ledger)
+			for _, ch := range txn.Then {
+				switch {
+				case ch.Put == batonKey:
+				case ch.Put != "":
+					c.apply(ch.Put, ch.Value, r.Ledger)
+				default:
+					c.apply(ch.Drop, nil, r.Ledger)
+				}
+			}
+		case Conflict:
+			c.stateOK = c.now
+		}
+		then(r)
+	}), class, txn})
+}
+
+func put(key string, v any) wire.Change {
+	b, err := json.Marshal(v)
+	if err != nil {
+		// Only our own record types come here; none of them can fail.
+		panic(err)
+	}
+	return wire.Change{Put: key, Value: b}
+}
--- /dev/null
+++ b/internal/core/taskset.go
@@ -0,0 +1,168 @@
+package core
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"sort"
+
+	"lilacrill/wire"
+)
+
+// TaskSet is a set of task numbers, kept as sorted ranges [low, high].
+type TaskSet struct {
+	ranges [][2]int
+}
+
+// Span is the set of the numbers from low up to but not including end.
+func Span(low, end int) TaskSet {
+	if low >= end {
+		return TaskSet{}
+	}
+	return TaskSet{[][2]int{{low, end - 1}}}
+}
+
+// Len counts the members.
+func (s TaskSet) Len() int {
+	n := 0
+	for _, r := range s.ranges {
+		n += r[1] - r[0] + 1
+	}
+	return n
+}
+
+// Empty reports whether the set has no members.
+func (s TaskSet) Empty() bool { return len(s.ranges) == 0 }
+
+// Has reports whether i is a member.
+func (s TaskSet) Has(i int) bool {
+	k := sort.Search(len(s.ranges), func(k int) bool { return s.ranges[k][1] >= i })
+	return k < len(s.ranges) && s.ranges[k][0] <= i
+}
+
+// All yields the members in order.
+func (s TaskSet) All(yield func(int) bool) {
+	for _, r := range s.ranges {
+		for i := r[0]; i <= r[1]; i++ {
+			if !yield(i) {
+				return
+			}
+		}
+	}
+}
+
+// With is the union of both sets.
+func (s TaskSet) With(o TaskSet) TaskSet {
+	if o.Empty() {
+		return s
+	}
+	if s.Empty() {
+		return o
+	}
+	all := slices.Concat(s.ranges, o.ranges)
+	slices.SortFunc(all, func(a, b [2]int) int { return a[0] - b[0] })
+	out := all[:1:1]
+	for _, r := range all[1:] {
+		last := &out[len(out)-1]
+		if r[0] <= last[1]+1 {
+			last[1] = max(last[1], r[1])
+		} else {
+			out = append(out, r)
+		}
+	}
+	return TaskSet{out}
+}
+
+// Add is the set with i.
+func (s TaskSet) Add(i int) TaskSet { return s.With(Span(i, i+1)) }
+
+// Without is the set less the members of o.
+func (s TaskSet) Without(o TaskSet) TaskSet {
+	var out [][2]int
+	k := 0
+	for _, r := range s.ranges {
+		low := r[0]
+		for k > 0 && o.ranges[k-1][1] >= low {
+			k--
+		}
+		for k < len(o.ranges) && o.ranges[k][1] < low {
+			k++
+		}
+		for m := k; m < len(o.ranges) && o.ranges[m][0] <= r[1]; m++ {
+			if o.ranges[m][0] > low {
+				out = append(out, [2]int{low, o.ranges[m][0] - 1})
+			}
+			low = o.ranges[m][1] + 1
+		}
+		if low <= r[1] {
+			out = append(out, [2]int{low, r[1]})
+		}
+	}
+	return TaskSet{out}
+}
+
+// And is the set of the members of both.
+func (s TaskSet) And(o TaskSet) TaskSet { return s.Without(s.Without(o)) }
+
+// Take splits off the first n members.
+func (s TaskSet) Take(n int) (first, rest TaskSet) {
+	for i, r := range s.ranges {
+		if size := r[1] - r[0] + 1; size <= n {
+			n -= size
+			continue
+		}
+		if n > 0 {
+			cut := r[0] + n
+			first = TaskSet{append(slices.Clone(s.ranges[:i]), [2]int{r[0], cut - 1})}
+			rest = TaskSet{append([][2]int{{cut, r[1]}}, s.ranges[i+1:]...)}
+			return first, rest
+		}
+		return TaskSet{slices.Clone(s.ranges[:i])}, TaskSet{slices.Clone(s.ranges[i:])}
+	}
+	return s, TaskSet{}
+}
+
+// MarshalJSON writes the ranges; a single number stands for itself.
+func (s TaskSet) MarshalJSON() ([]byte, error) {
+	flat := make([]any, len(s.ranges))
+	for i, r := range s.ranges {
+		if r[0] == r[1] {
+			flat[i] = r[0]
+		} else {
+			flat[i] = r
+		}
+	}
+	return json.Marshal(flat)
+}
+
+// UnmarshalJSON reads what MarshalJSON writes and refuses anything unordered.
+func (s *TaskSet) UnmarshalJSON(b []byte) error {
+	var items []json.RawMessage
+	if err := json.Unmarshal(b, &items); err != nil {
+		return err
+	}
+	s.ranges = nil
+	for _, item := range items {
+		var r [2]int
+		if len(item) > 0 && item[0] == '[' {
+			var pair []int
+			if err := json.Unmarshal(item, &pair); err != nil || len(pair) != 2 {
+				return errors.New("task set: bad range")
+			}
+			r = [2]int{pair[0], pair[1]}
+		} else {
+			if err := json.Unmarshal(item, &r[0]); err != nil {
+				return err
+			}
+			r[1] = r[0]
+		}
+		if r[0] < 0 || r[1] < r[0] || r[1] >= wire.MaxTasks {
+			return errors.New("task set: range out of bounds")
+		}
+		if k := len(s.ranges); k > 0 && s.ranges[k-1][1] >= r[0] {
+			return errors.New("task set: ranges out of order")
+		}
+		s.ranges = append(s.ranges, r)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/users.go
@@ -0,0 +1,268 @@
+package core
+
+import (
+	"net/http"
+	"time"
+
+	"lilacrill/internal/placement"
+	"lilacrill/wire"
+)
+
+const (
+	// submitPatience is how long a submission may wait for the state service
+	// before its user is told to come back.
+	submitPatience = 1500 * time.Millisecond
+	comeBack       = time.Second
+	comeBackLater  = 2 * time.Second
+)
+
+func (c *Core) reply(r RequestID, status int, body any) {
+	c.do(Reply{Request: r, Status: status, Body: body})
+}
+
+func (c *Core) refuse(r RequestID, status int, why string, after time.Duration) {
+	c.do(Reply{Request: r, Status: status, Body: wire.Problem{Error: why}, RetryAfter: after})
+}
+
+func (c *Core) unavailable(r RequestID, why string) {
+	c.refuse(r, http.StatusServiceUnavailable, why, comeBack)
+}
+
+// serving reports whether user requests can be decided now, and answers the
+// request if not.
+func (c *Core) serving(r RequestID) bool {
+	switch {
+	case !c.ready || !c.whole():
+		c.unavailable(r, "starting")
+	case !c.stateFresh():
+		c.refuse(r, http.StatusServiceUnavailable, "state service unavailable", comeBackLater)
+	default:
+		return true
+	}
+	return false
+}
+
+func (c *Core) submit(in Submitted) {
+	if f, ok := c.finals[in.Spec.ID]; ok {
+		c.reply(in.Request, http.StatusOK, finalStatus(in.Spec.ID, f))
+		return
+	}
+	if !c.serving(in.Request) {
+		return
+	}
+	if c.jobs[in.Spec.ID] != nil {
+		c.lookUp(in.Request, in.Spec.ID, func(s wire.JobStatus, found bool) {
+			if found {
+				c.reply(in.Request, http.StatusOK, s)
+			} else {
+				c.unavailable(in.Request, "state changed; try again")
+			}
+		})
+		return
+	}
+	if len(c.catalogue) == 0 {
+		c.unavailable(in.Request, "machine types not known yet")
+		return
+	}
+	if why := c.neverRuns(&in.Spec); why != "" {
+		// What was accepted once is not refused now, even if the catalogue has
+		// changed since: so first make sure that it is new.
+		c.lookUp(in.Request, in.Spec.ID, func(s wire.JobStatus, found bool) {
+			if found {
+				c.reply(in.Request, http.StatusOK, s)
+			} else {
+				c.refuse(in.Request, http.StatusUnprocessableEntity, why, 0)
+			}
+		})
+		return
+	}
+	c.accept(in)
+}
+
+// accept writes the job down before its user is told. Should the answer of the
+// state service be lost, the user's retry finds the job or writes it again.
+func (c *Core) accept(in Submitted) {
+	id := in.Spec.ID
+	open := true
+	c.timeouts = append(c.timeouts, timeout{c.now.Add(submitPatience), func() {
+		if open {
+			open = false
+			c.unavailable(in.Request, "state service slow")
+		}
+	}})
+	c.commit(ClassAccept, wire.Transaction{
+		If:   []wire.Condition{{Key: jobKey(id)}, {Key: finalKey(id)}},
+		Then: []wire.Change{put(jobKey(id), jobRecord{Spec: in.Spec, At: c.wall})},
+	}, func(r Committed) {
+		if r.Outcome == Done {
+			c.fresh[id] = c.now
+			c.log.Debug("job accepted", "job", id, "team", in.Spec.Team, "tasks", in.Spec.Tasks)
+		}
+		if !open {
+			return
+		}
+		open = false
+		switch r.Outcome {
+		case Done:
+			c.reply(in.Request, http.StatusCreated, wire.JobStatus{ID: id, Status: wire.StatusPending})
+		case Conflict:
+			c.lookUp(in.Request, id, func(s wire.JobStatus, found bool) {
+				if found {
+					c.reply(in.Request, http.StatusOK, s)
+				} else {
+					c.unavailable(in.Request, "state changed; try again")
+				}
+			})
+		default:
+			c.unavailable(in.Request, "state service unavailable")
+		}
+	})
+}
+
+// neverRuns says why a job can never run, or "".
+func (c *Core) neverRuns(j *wire.JobSpec) string {
+	t := c.teamSettings(j.Team)
+	if t == nil {
+		return "unknown team"
+	}
+	n := float64(j.Tasks)
+	if j.Shape == wire.ShapeArray {
+		n = 1
+	}
+	if n*j.Cores > t.CPUsMax+1e-6 || n*j.Accelerators > t.GPUsMax+1e-6 {
+		return "needs more than the team's limit"
+	}
+	if j.Together && j.Apart && j.Tasks > 1 && j.Shape != wire.ShapeArray {
+		return "together and apart at once"
+	}
+	if j.Apart && j.Zone != "" && j.Tasks > 1 && j.Shape != wire.ShapeArray {
+		return "apart in a single zone"
+	}
+	req := placement.NewRequest(j)
+	for i := range c.catalogue {
+		m := &c.catalogue[i]
+		if !amountOf(m).Covers(req.Need) {
+			continue
+		}
+		for _, zone := range m.Zones {
+			h := &placement.Host{Labels: labels(m.Name, zone, false)}
+			if (placement.Fleet{h}).Holds(req.Enforced, j.Team, h) {
+				return ""
+			}
+		}
+	}
+	return "a task fits no allowed machine type"
+}
+
+func finalStatus(id wire.JobID, f finalRecord) wire.JobStatus {
+	return wire.JobStatus{ID: id, Status: f.Status, Done: f.Done}
+}
+
+// lookUp finds a job's state as of now or later: after a barrier, since another
+// controller may have told its user something newer. If that cannot be done,
+// it answers the request itself.
+func (c *Core) lookUp(r RequestID, id wire.JobID, then func(s wire.JobStatus, found bool)) {
+	if f, ok := c.finals[id]; ok {
+		then(finalStatus(id, f), true)
+		return
+	}
+	if !c.serving(r) {
+		return
+	}
+	c.barrier(func(ok bool) {
+		if !ok {
+			c.unavailable(r, "state service unavailable")
+			return
+		}
+		if f, ok := c.finals[id]; ok {
+			then(finalStatus(id, f), true)
+			return
+		}
+		if j := c.jobs[id]; j != nil {
+			then(c.status(j), true)
+			return
+		}
+		c.do(Fetch{call(c, func(f Fetched) {
+			switch f.Outcome {
+			case Done:
+				c.apply(finalKey(id), f.Value, f.Stamp)
+				if f, ok := c.finals[id]; ok {
+					then(finalStatus(id, f), true)
+				} else {
+					c.unavailable(r, "record not understood")
+				}
+			case Missing:
+				c.stateOK = c.now
+				then(wire.JobStatus{}, false)
+			default:
+				c.unavailable(r, "state service unavailable")
+			}
+		}), finalKey(id)})
+	})
+}
+
+func (c *Core) status(j *job) wire.JobStatus {
+	s := wire.JobStatus{ID: j.id, Status: wire.StatusPending, Done: j.done.Len()}
+	c.reindex()
+	for _, e := range c.ofJob[j.id] {
+		if m := c.machines[e.Machine]; m != nil {
+			s.Running += m.running(e)
+		}
+	}
+	if s.Running > 0 {
+		s.Status = wire.StatusRunning
+	}
+	return s
+}
+
+func (c *Core) poll(r RequestID, id wire.JobID) {
+	c.lookUp(r, id, func(s wire.JobStatus, found bool) {
+		if found {
+			c.reply(r, http.StatusOK, s)
+		} else {
+			c.refuse(r, http.StatusNotFound, "no such job", 0)
+		}
+	})
+}
+
+// cancel writes the job's end before its user is told. From then on no
+// placement of it can be committed (each demands the job's record), and its
+// entries, now without a job, are stopped by whoever sees them.
+func (c *Core) cancel(r RequestID, id wire.JobID) {
+	c.lookUp(r, id, func(s wire.JobStatus, found bool) {
+		j := c.jobs[id]
+		switch {
+		case !found:
+			c.refuse(r, http.StatusNotFound, "no such job", 0)
+			return
+		case s.Status.Final():
+			c.reply(r, http.StatusOK, s)
+			return
+		case j == nil:
+			c.unavailable(r, "state changed; try again")
+			return
+		}
+		end := finalRecord{Status: wire.StatusWithdrawn, Done: s.Done}
+		c.commit(ClassUrgent, wire.Transaction{
+			If:   []wire.Condition{{Key: jobKey(id), Stamp: j.stamp}, {Key: finalKey(id)}},
+			Then: []wire.Change{put(finalKey(id), end), {Drop: jobKey(id)}},
+		}, func(done Committed) {
+			switch done.Outcome {
+			case Done:
+				c.log.Debug("job withdrawn", "job", id)
+				c.reply(r, http.StatusOK, finalStatus(id, end))
+				c.pushJob(id)
+			case Conflict:
+				c.lookUp(r, id, func(s wire.JobStatus, found bool) {
+					if found && s.Status.Final() {
+						c.reply(r, http.StatusOK, s)
+					} else {
+						c.unavailable(r, "state changed; try again")
+					}
+				})
+			default:
+				c.unavailable(r, "state service unavailable")
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,161 @@
+// Package peer carries JSON lines between controllers. Lines are hints: they
+// may be lost, and nothing waits for them.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"time"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+const (
+	dialTimeout  = time.Second
+	redialPause  = 500 * time.Millisecond
+	writeTimeout = time.Second
+	readTimeout  = 20 * time.Second
+	backlog      = 512
+	maxLine      = 4 << 20
+)
+
+// Mesh is the connections to the siblings.
+type Mesh struct {
+	log   *slog.Logger
+	links []*link
+}
+
+type link struct {
+	addr  string
+	lines chan []byte
+}
+
+// New makes a mesh; Serve must run for it to do anything.
+func New(set *config.Settings, log *slog.Logger) *Mesh {
+	m := &Mesh{log: log}
+	for _, s := range set.Siblings {
+		m.links = append(m.links, &link{addr: s.Endpoint, lines: make(chan []byte, backlog)})
+	}
+	return m
+}
+
+// Tell sends a line to all siblings; to one that does not keep up it is lost.
+func (m *Mesh) Tell(l *wire.PeerLine) {
+	b, err := json.Marshal(l)
+	if err != nil {
+		m.log.Error("line not written", "err", err)
+		return
+	}
+	b = append(b, '\n')
+	for _, k := range m.links {
+		select {
+		case k.lines <- b:
+		default:
+		}
+	}
+}
+
+// Send keeps the connections to the siblings until ctx ends.
+func (m *Mesh) Send(ctx context.Context) {
+	for _, k := range m.links {
+		go k.run(ctx)
+	}
+	<-ctx.Done()
+}
+
+func (k *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp4", k.addr, dialTimeout)
+		if err == nil {
+			k.write(ctx, conn)
+			conn.Close()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialPause):
+		}
+		// What gathered meanwhile is old news.
+		for drained := false; !drained; {
+			select {
+			case <-k.lines:
+			default:
+				drained = true
+			}
+		}
+	}
+}
+
+func (k *link) write(ctx context.Context, conn net.Conn) {
+	w := bufio.NewWriter(conn)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case line := <-k.lines:
+			if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+				return
+			}
+			if _, err := w.Write(line); err != nil {
+				return
+			}
+			if len(k.lines) == 0 && w.Flush() != nil {
+				return
+			}
+		}
+	}
+}
+
+// Serve takes lines from siblings until the listener is closed.
+func (m *Mesh) Serve(ln net.Listener, said func(*wire.PeerLine)) error {
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			m.log.Warn("peer connection not accepted", "err", err)
+			time.Sleep(redialPause)
+			continue
+		}
+		go m.read(conn, said)
+	}
+}
+
+func (m *Mesh) read(conn net.Conn, said func(*wire.PeerLine)) {
+	defer conn.Close()
+	lines := bufio.NewScanner(conn)
+	lines.Buffer(make([]byte, 0, 4096), maxLine)
+	for {
+		if conn.SetReadDeadline(time.Now().Add(readTimeout)) != nil || !lines.Scan() {
+			return
+		}
+		l, err := Parse(lines.Bytes())
+		if err != nil {
+			m.log.Warn("peer's line dropped", "from", conn.RemoteAddr(), "err", err)
+			continue
+		}
+		said(l)
+	}
+}
+
+// Parse reads and checks one line.
+func Parse(b []byte) (*wire.PeerLine, error) {
+	var l wire.PeerLine
+	if err := json.Unmarshal(b, &l); err != nil {
+		return nil, err
+	}
+	if l.From == "" {
+		return nil, errors.New("line without a sender")
+	}
+	if l.Report != nil {
+		if err := l.Report.Check(); err != nil {
+			return nil, err
+		}
+	}
+	return &l, nil
+}
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,174 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"lilacrill/wire"
+)
+
+// Choice is a number of tasks given to one machine.
+type Choice struct {
+	Machine wire.MachineID
+	Zone    string
+	Count   int
+	Relaxed bool
+}
+
+// Options say how a choice is made.
+type Options struct {
+	// Skip holds machines that count as locked.
+	Skip map[wire.MachineID]bool
+	// Probes, if above 0, makes the choice among that many machines drawn with
+	// Rand: what a controller does after a lost write.
+	Probes int
+	Rand   *rand.Rand
+	// Relax allows the Preferred rules to be ignored when no machine that
+	// meets them has room.
+	Relax bool
+	// Whole demands room for all tasks or places none.
+	Whole bool
+	// Usable filters machines that may not take this job for now.
+	Usable func(*Host) bool
+}
+
+// Choose places up to count tasks of the request and books them on the hosts.
+// Zone, if not empty, is where the job's other tasks are (Together).
+func (f Fleet) Choose(r *Request, count int, zone string, o Options) []Choice {
+	pool := f.pool(r, o)
+	if r.Together && zone == "" {
+		zone = f.bestZone(r, pool, count)
+		if zone == "" {
+			return nil
+		}
+	}
+	enforced := r.Enforced
+	if r.Together {
+		enforced = append(slices.Clip(enforced), InZone(zone))
+	}
+	undo := map[*Host]Host{}
+	choices := f.fill(r, pool, enforced, r.Preferred, count, undo)
+	if left := count - total(choices); left > 0 && o.Relax && len(r.Preferred) > 0 {
+		for _, c := range f.fill(r, pool, enforced, nil, left, undo) {
+			c.Relaxed = true
+			choices = append(choices, c)
+		}
+	}
+	if o.Whole && total(choices) < count {
+		for h, was := range undo {
+			h.Free, h.Slots, h.Groups = was.Free, was.Slots, was.Groups
+		}
+		return nil
+	}
+	return choices
+}
+
+func total(cs []Choice) int {
+	n := 0
+	for _, c := range cs {
+		n += c.Count
+	}
+	return n
+}
+
+// pool is the machines to look at, best first.
+func (f Fleet) pool(r *Request, o Options) []*Host {
+	pool := make([]*Host, 0, len(f))
+	for _, h := range f {
+		if !o.Skip[h.ID] && h.Slots > 0 && h.Free.Covers(r.Need) && (o.Usable == nil || o.Usable(h)) {
+			pool = append(pool, h)
+		}
+	}
+	if o.Probes > 0 && len(pool) > 0 {
+		o.Rand.Shuffle(len(pool), func(i, k int) { pool[i], pool[k] = pool[k], pool[i] })
+		pool = pool[:min(o.Probes, len(pool))]
+	}
+	keys := make(map[*Host]rank, len(pool))
+	for _, h := range pool {
+		keys[h] = rankOf(r, h)
+	}
+	slices.SortStableFunc(pool, func(a, b *Host) int {
+		ka, kb := keys[a], keys[b]
+		return cmp.Or(cmp.Compare(ka.penalty, kb.penalty), cmp.Compare(ka.wasted, kb.wasted),
+			cmp.Compare(ka.image, kb.image), cmp.Compare(ka.kind, kb.kind),
+			cmp.Compare(ka.left, kb.left), cmp.Compare(a.ID, b.ID))
+	})
+	return pool
+}
+
+// rank orders machines: the smaller, the better, field by field.
+type rank struct {
+	penalty float64
+	wasted  float64
+	image   int
+	kind    int
+	left    float64
+}
+
+// rankOf prefers machines that did not fail lately, that do not lose
+// accelerators to work without any, that have the image, that are cheap where
+// spot is allowed, and that are fuller already, so that large tasks find whole
+// machines.
+func rankOf(r *Request, h *Host) rank {
+	k := rank{penalty: h.Penalty}
+	if r.Need.Accelerators == 0 && h.Total.Accelerators > 0 {
+		k.wasted = 1
+	}
+	if !h.Images[r.Image] {
+		k.image = 1
+	}
+	if r.Spot && h.Labels[LabelSpot] != "true" {
+		k.kind = 1
+	}
+	if h.Total.Cores > 0 {
+		k.left = h.Free.Cores
+	}
+	return k
+}
+
+func (f Fleet) fill(r *Request, pool []*Host, enforced, preferred []Node, count int, undo map[*Host]Host) []Choice {
+	var out []Choice
+	for _, h := range pool {
+		placed := 0
+		for count > 0 && h.Slots > 0 && h.Free.Covers(r.Need) &&
+			f.Holds(enforced, r.Team, h) && f.Holds(preferred, r.Team, h) {
+			n := 1
+			if !r.Single {
+				n = h.Free.Times(r.Need, min(count, h.Slots))
+			}
+			if _, ok := undo[h]; !ok {
+				undo[h] = Host{Free: h.Free, Slots: h.Slots, Groups: slices.Clone(h.Groups)}
+			}
+			h.Add(r.Team, r.Tags, r.Need, n)
+			placed += n
+			count -= n
+		}
+		if placed > 0 {
+			out = append(out, Choice{Machine: h.ID, Zone: h.Labels[LabelZone], Count: placed})
+		}
+		if count == 0 {
+			break
+		}
+	}
+	return out
+}
+
+// bestZone is the zone with room for most of the tasks.
+func (f Fleet) bestZone(r *Request, pool []*Host, count int) string {
+	room := map[string]int{}
+	best := ""
+	for _, h := range pool {
+		if f.Holds(r.Enforced, r.Team, h) {
+			z := h.Labels[LabelZone]
+			before := room[z]
+			room[z] = min(count, before+h.Free.Times(r.Need, count))
+			// The pool is in order of rank, so of zones with equal room the one
+			// whose machines rank better wins.
+			if best == "" || room[z] > room[best] {
+				best = z
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/placement/rules.go
@@ -0,0 +1,278 @@
+// Package placement chooses machines for tasks: rules filter the machines that
+// fit, then a ranking orders them. It has no clock and no randomness of its
+// own.
+package placement
+
+import (
+	"lilacrill/wire"
+)
+
+// Resource says what a rule reads.
+type Resource int
+
+// The resources that rules read.
+const (
+	// MachineLabels are the labels of the candidate machine.
+	MachineLabels Resource = iota
+	// TaskTags are the tags of the same team's tasks on the machine, or in its
+	// group.
+	TaskTags
+)
+
+// Operator says whether a rule demands or forbids.
+type Operator int
+
+// The operators of rules.
+const (
+	Has Operator = iota
+	HasNot
+)
+
+// Tags are key and value pairs, on machines (labels) or on tasks.
+type Tags map[string]string
+
+// The labels and tags lilacrill itself uses.
+const (
+	LabelType  = "type"
+	LabelZone  = "zone"
+	LabelSpot  = "spot"
+	TagJob     = "job"
+	TagService = "service"
+)
+
+// Node is one node of a rule tree: exactly one of its fields is set.
+type Node struct {
+	Rule  *Rule
+	AnyOf []Node
+	AllOf []Node
+}
+
+// Rule asks for one condition on a candidate machine.
+type Rule struct {
+	Resource Resource
+	Operator Operator
+	Tags     Tags
+	// Within names a label: the rule then reads the tasks on every machine
+	// that shares the candidate's value of it. A machine without it fails.
+	Within string
+	// Allow is how many matching tasks a HasNot still bears.
+	Allow int
+	// Stopping makes the rule count tasks that were told to stop too: for what
+	// must hold until they are gone.
+	Stopping bool
+}
+
+// Group is a number of like tasks on one machine.
+type Group struct {
+	Team     string
+	Tags     Tags
+	Count    int
+	Stopping bool
+}
+
+// Amount is what a task takes of a machine, or what a machine has.
+type Amount struct {
+	Cores, Accelerators, MemGB float64
+}
+
+// slack forgives rounding in sums of decimal amounts.
+const slack = 1e-6
+
+// Plus adds n times b.
+func (a Amount) Plus(b Amount, n float64) Amount {
+	return Amount{a.Cores + n*b.Cores, a.Accelerators + n*b.Accelerators, a.MemGB + n*b.MemGB}
+}
+
+// Covers reports whether a has room for b.
+func (a Amount) Covers(b Amount) bool {
+	return a.Cores+slack >= b.Cores && a.Accelerators+slack >= b.Accelerators && a.MemGB+slack >= b.MemGB
+}
+
+// Times says how many times b fits into a, at most limit.
+func (a Amount) Times(b Amount, limit int) int {
+	n := limit
+	for _, p := range [3][2]float64{{a.Cores, b.Cores}, {a.Accelerators, b.Accelerators}, {a.MemGB, b.MemGB}} {
+		if p[1] > 0 {
+			if k := int((p[0] + slack) / p[1]); k < n {
+				n = k
+			}
+		}
+	}
+	return max(n, 0)
+}
+
+// Host is a machine as placement sees it.
+type Host struct {
+	ID     wire.MachineID
+	Labels Tags
+	Total  Amount
+	Free   Amount
+	// Freeing is what tasks that were told to stop will give back.
+	Freeing Amount
+	Groups  []Group
+	// Slots is how many more tasks the machine may hold.
+	Slots int
+	// Images holds the images the machine is known to have.
+	Images map[string]bool
+	// Price is what the machine costs an hour.
+	Price float64
+	// Penalty worsens the rank of machines that did badly lately.
+	Penalty float64
+}
+
+// Add places count tasks on the host.
+func (h *Host) Add(team string, tags Tags, need Amount, count int) {
+	h.Free = h.Free.Plus(need, -float64(count))
+	h.Slots -= count
+	for i := range h.Groups {
+		g := &h.Groups[i]
+		if g.Team == team && !g.Stopping && sameTags(g.Tags, tags) {
+			g.Count += count
+			return
+		}
+	}
+	h.Groups = append(h.Groups, Group{Team: team, Tags: tags, Count: count})
+}
+
+func sameTags(a, b Tags) bool { return len(a) == len(b) && hasAll(a, b) }
+
+func hasAll(tags, want Tags) bool {
+	for k, v := range want {
+		if got, ok := tags[k]; !ok || got != v {
+			return false
+		}
+	}
+	return true
+}
+
+// Fleet is the set of machines that rules with Within read.
+type Fleet []*Host
+
+// Holds evaluates the nodes (all must hold) for a team's task on a host.
+func (f Fleet) Holds(nodes []Node, team string, h *Host) bool {
+	for i := range nodes {
+		if !f.holds(&nodes[i], team, h) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f Fleet) holds(n *Node, team string, h *Host) bool {
+	switch {
+	case n.Rule != nil:
+		return f.ruleHolds(n.Rule, team, h)
+	case n.AnyOf != nil:
+		for i := range n.AnyOf {
+			if f.holds(&n.AnyOf[i], team, h) {
+				return true
+			}
+		}
+		return false
+	}
+	return f.Holds(n.AllOf, team, h)
+}
+
+func (f Fleet) ruleHolds(r *Rule, team string, h *Host) bool {
+	if r.Resource == MachineLabels {
+		return hasAll(h.Labels, r.Tags) == (r.Operator == Has)
+	}
+	n := 0
+	if r.Within == "" {
+		n = h.matching(r, team)
+	} else {
+		value, ok := h.Labels[r.Within]
+		if !ok {
+			return false
+		}
+		for _, o := range f {
+			if v, ok := o.Labels[r.Within]; ok && v == value {
+				n += o.matching(r, team)
+			}
+		}
+	}
+	if r.Operator == Has {
+		return n > 0
+	}
+	return n <= r.Allow
+}
+
+func (h *Host) matching(r *Rule, team string) int {
+	n := 0
+	for i := range h.Groups {
+		g := &h.Groups[i]
+		if g.Team == team && (r.Stopping || !g.Stopping) && hasAll(g.Tags, r.Tags) {
+			n += g.Count
+		}
+	}
+	return n
+}
+
+// Request is what placement needs to know of a job.
+type Request struct {
+	Team  string
+	Tags  Tags
+	Need  Amount
+	Image string
+	// Enforced rules are never ignored.
+	Enforced []Node
+	// Preferred rules are ignored only when no machine that meets them has
+	// room.
+	Preferred []Node
+	// Together keeps all tasks in the zone of the first.
+	Together bool
+	// Single says that rules read the job's own tasks, so that they must be
+	// evaluated anew after each one.
+	Single bool
+	// Spot says that spot machines are allowed, and so preferred.
+	Spot bool
+}
+
+// half is the most of n tasks that one zone may hold of a job set apart.
+func half(n int) int { return (n + 1) / 2 }
+
+// NewRequest turns a job's fields into rules.
+func NewRequest(j *wire.JobSpec) *Request {
+	r := &Request{
+		Team:     j.Team,
+		Tags:     Tags{TagJob: string(j.ID)},
+		Need:     Amount{j.Cores, j.Accelerators, j.MemGB},
+		Image:    j.Image,
+		Together: j.Together,
+		Spot:     j.Spot,
+	}
+	if len(j.Types) > 0 {
+		var any []Node
+		for _, t := range j.Types {
+			any = append(any, label(Has, LabelType, t))
+		}
+		r.Enforced = append(r.Enforced, Node{AnyOf: any})
+	}
+	if j.Zone != "" {
+		r.Enforced = append(r.Enforced, label(Has, LabelZone, j.Zone))
+	}
+	if !j.Spot {
+		r.Enforced = append(r.Enforced, label(HasNot, LabelSpot, "true"))
+	}
+	own := Tags{TagJob: string(j.ID)}
+	if j.Apart {
+		// Tasks that are stopping still stand in their zone, so they count.
+		r.Single = true
+		r.Enforced = append(r.Enforced, Node{Rule: &Rule{Resource: TaskTags, Operator: HasNot, Tags: own,
+			Within: LabelZone, Allow: half(j.Tasks) - 1, Stopping: true}})
+	}
+	if j.Shape == wire.ShapeService {
+		r.Single = true
+		r.Tags[TagService] = string(j.ID)
+		r.Preferred = append(r.Preferred, Node{Rule: &Rule{Resource: TaskTags, Operator: HasNot,
+			Tags: Tags{TagService: string(j.ID)}}})
+	}
+	return r
+}
+
+func label(op Operator, key, value string) Node {
+	return Node{Rule: &Rule{Resource: MachineLabels, Operator: op, Tags: Tags{key: value}}}
+}
+
+// InZone is the rule that keeps a task in one zone.
+func InZone(zone string) Node { return label(Has, LabelZone, zone) }
--- /dev/null
+++ b/internal/statestore/client.go
@@ -0,0 +1,205 @@
+package statestore
+
+import (
+	"errors"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"lilacrill/internal/config"
+	"lilacrill/internal/core"
+	"lilacrill/internal/httpcall"
+	"lilacrill/wire"
+)
+
+// Client carries out the core's calls to the state service.
+type Client struct {
+	set   *config.Settings
+	log   *slog.Logger
+	calls *httpcall.Client
+	feed  *httpcall.Client
+	queue *queue
+}
+
+const (
+	callTimeout  = 1500 * time.Millisecond
+	leaseTimeout = time.Second
+	blockSlack   = 3 * time.Second
+	queueTime    = 2 * time.Second
+	listPage     = 500
+	maxConns     = 24
+	idleTime     = 30 * time.Second
+)
+
+// New makes a client; Serve must run for it to do anything.
+func New(set *config.Settings, log *slog.Logger) *Client {
+	return &Client{
+		set:   set,
+		log:   log,
+		calls: httpcall.New(set.Services.State, maxConns, idleTime),
+		feed:  httpcall.New(set.Services.State, 4, idleTime),
+		queue: newQueue(set.Cluster.State.RPS, set.Cluster.State.WriteRPS),
+	}
+}
+
+// Serve hands out tokens until done is closed.
+func (c *Client) Serve(done <-chan struct{}) { c.queue.serve(done) }
+
+// Share divides the limits among so many controllers.
+func (c *Client) Share(controllers int) {
+	c.queue.share(c.set.Cluster.State.RPS, c.set.Cluster.State.WriteRPS, controllers)
+}
+
+// outcome sorts a call's end. Statuses in the 500s other than 503 say nothing
+// of whether the call was executed.
+func (c *Client) outcome(what string, status int, err error) core.Outcome {
+	switch {
+	case err != nil && errors.Is(err, httpcall.ErrNotSent):
+		c.log.Debug("state service not reached", "call", what, "err", err)
+		return core.NotDone
+	case err != nil:
+		c.log.Debug("state service gave no answer", "call", what, "err", err)
+		return core.Unknown
+	}
+	switch status {
+	case http.StatusOK:
+		return core.Done
+	case http.StatusConflict:
+		return core.Conflict
+	case http.StatusNotFound:
+		return core.Missing
+	case http.StatusGone:
+		return core.TooOld
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		c.log.Debug("state service refused", "call", what, "status", status)
+		return core.NotDone
+	case http.StatusBadRequest:
+		c.log.Error("state service found a call malformed", "call", what)
+		return core.NotDone
+	}
+	c.log.Warn("state service answered oddly", "call", what, "status", status)
+	return core.Unknown
+}
+
+// Follow reads the feed.
+func (c *Client) Follow(f core.Follow, then func(core.Fed)) {
+	q := url.Values{"under": {f.Under}, "after": {strconv.FormatUint(uint64(f.After), 10)}}
+	timeout := callTimeout
+	calls := c.calls
+	if f.Block > 0 {
+		q.Set("block_ms", strconv.FormatInt(f.Block.Milliseconds(), 10))
+		timeout = f.Block + blockSlack
+		calls = c.feed
+	}
+	c.queue.add(f.Class, &waiter{deadline: time.Now().Add(queueTime), run: func() {
+		var r core.Fed
+		status, err := calls.Call(http.MethodGet, "/follow?"+q.Encode(), nil, timeout, map[int]any{200: &r.Feed})
+		r.Outcome = c.outcome("follow", status, err)
+		then(r)
+	}, expire: func() { then(core.Fed{Outcome: core.NotDone}) }})
+}
+
+// Commit runs a transaction.
+func (c *Client) Commit(m core.Commit, then func(core.Committed)) {
+	timeout := callTimeout
+	if m.Class == core.ClassLease {
+		timeout = leaseTimeout
+	}
+	c.queue.add(m.Class, &waiter{writes: len(m.Txn.Then), deadline: time.Now().Add(queueTime), run: func() {
+		var a wire.TransactionAnswer
+		var problem wire.Problem
+		status, err := c.calls.Call(http.MethodPost, "/multi", m.Txn, timeout,
+			map[int]any{200: &a, 409: &a, 400: &problem})
+		r := core.Committed{Ledger: a.Ledger, Failed: a.Failed}
+		if status == http.StatusBadRequest && err == nil && problem.Error == "no such lease" {
+			r.Outcome = core.Missing
+		} else {
+			r.Outcome = c.outcome("multi", status, err)
+		}
+		then(r)
+	}, expire: func() { then(core.Committed{Outcome: core.NotDone}) }})
+}
+
+// Fetch reads one key.
+func (c *Client) Fetch(f core.Fetch, then func(core.Fetched)) {
+	c.queue.add(core.ClassAccept, &waiter{deadline: time.Now().Add(queueTime), run: func() {
+		var e wire.Entry
+		status, err := c.calls.Call(http.MethodGet, "/kv/"+f.Key, nil, callTimeout, map[int]any{200: &e})
+		then(core.Fetched{Outcome: c.outcome("get", status, err), Value: e.Value, Stamp: e.Stamp})
+	}, expire: func() { then(core.Fetched{Outcome: core.NotDone}) }})
+}
+
+// Grant asks for a lease.
+func (c *Client) Grant(g core.Grant, then func(core.Granted)) {
+	body := struct {
+		TTL int64 `json:"ttl_ms"`
+	}{g.TTL.Milliseconds()}
+	c.lease("/leases", body, 0, then)
+}
+
+// Extend renews a lease.
+func (c *Client) Extend(e core.Extend, then func(core.Granted)) {
+	c.lease("/leases/"+strconv.FormatUint(uint64(e.Permit), 10)+"/extend", struct{}{}, e.Permit, then)
+}
+
+func (c *Client) lease(path string, body any, permit wire.Permit, then func(core.Granted)) {
+	c.queue.add(core.ClassLease, &waiter{deadline: time.Now().Add(queueTime), run: func() {
+		var a struct {
+			Permit wire.Permit `json:"permit"`
+		}
+		status, err := c.calls.Call(http.MethodPost, path, body, leaseTimeout, map[int]any{200: &a})
+		if a.Permit == 0 {
+			a.Permit = permit
+		}
+		then(core.Granted{Outcome: c.outcome("lease", status, err), Permit: a.Permit})
+	}, expire: func() { then(core.Granted{Outcome: core.NotDone}) }})
+}
+
+// Load reads all keys under the prefixes.
+func (c *Client) Load(l core.Load, then func(core.Loaded)) {
+	go func() {
+		var r core.Loaded
+		for i, prefix := range l.Prefixes {
+			after := ""
+			for {
+				page, outcome := c.list(prefix, after)
+				if outcome != core.Done {
+					then(core.Loaded{Outcome: outcome})
+					return
+				}
+				if i == 0 && after == "" {
+					r.First = page.Ledger
+				}
+				r.Last = max(r.Last, page.Ledger)
+				r.Entries = append(r.Entries, page.Entries...)
+				if !page.More || len(page.Entries) == 0 {
+					break
+				}
+				after = page.Entries[len(page.Entries)-1].Key
+			}
+		}
+		then(r)
+	}()
+}
+
+func (c *Client) list(prefix, after string) (wire.EntryList, core.Outcome) {
+	q := url.Values{"under": {prefix}, "page": {strconv.Itoa(listPage)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	type result struct {
+		page    wire.EntryList
+		outcome core.Outcome
+	}
+	ch := make(chan result, 1)
+	c.queue.add(core.ClassLease, &waiter{deadline: time.Now().Add(queueTime), run: func() {
+		var r result
+		status, err := c.calls.Call(http.MethodGet, "/kv?"+q.Encode(), nil, 2*callTimeout, map[int]any{200: &r.page})
+		r.outcome = c.outcome("list", status, err)
+		ch <- r
+	}, expire: func() { ch <- result{outcome: core.NotDone} }})
+	r := <-ch
+	return r.page, r.outcome
+}
--- /dev/null
+++ b/wire/services.go
@@ -0,0 +1,136 @@
+package wire
+
+import "encoding/json"
+
+// MachineType is one entry of the cloud's catalogue.
+type MachineType struct {
+	Name         string   `json:"sku"`
+	Cores        float64  `json:"cores"`
+	Accelerators float64  `json:"accelerators"`
+	MemGB        float64  `json:"mem_gb"`
+	LocalGB      float64  `json:"local_gb"`
+	PullGBPerS   float64  `json:"pull_gb_per_s"`
+	Rate         float64  `json:"rate"`
+	MarketPrice  float64  `json:"market_price"`
+	StartupS     float64  `json:"startup_s"`
+	Zones        []string `json:"yards"`
+}
+
+// Catalogue answers GET /catalog.
+type Catalogue struct {
+	Types []MachineType `json:"rigtypes"`
+}
+
+// Hire is the body of POST /hosts. Its name is never used twice.
+type Hire struct {
+	Name   string `json:"hire"`
+	Type   string `json:"rigtype"`
+	Zone   string `json:"yard"`
+	Spot   bool   `json:"loaners"`
+	Number int    `json:"number"`
+}
+
+// Machines is a list of machine names, in hires' answers and in returns.
+type Machines struct {
+	Names []MachineID `json:"rigs"`
+}
+
+// MachineStatus is a machine's state in the cloud's list.
+type MachineStatus string
+
+// The states of listed machines.
+const (
+	MachineBooting MachineStatus = "booting"
+	MachineRunning MachineStatus = "running"
+	MachineFailed  MachineStatus = "failed"
+)
+
+// ListedMachine is one entry of the cloud's list.
+type ListedMachine struct {
+	ID     MachineID     `json:"id"`
+	Addr   string        `json:"addr"`
+	Type   string        `json:"rigtype"`
+	Zone   string        `json:"yard"`
+	Spot   bool          `json:"loaners"`
+	Status MachineStatus `json:"status"`
+	HeldS  float64       `json:"held_s"`
+}
+
+// MachineList answers GET /hosts.
+type MachineList struct {
+	Machines []ListedMachine `json:"rigs"`
+	More     bool            `json:"more"`
+}
+
+// Limits of single cloud calls.
+const (
+	MaxHire   = 50
+	MaxReturn = 100
+	MaxList   = 500
+)
+
+// Entry is one key with its value in the state service.
+type Entry struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"v"`
+	Stamp Ledger          `json:"stamp"`
+}
+
+// EntryList answers GET /kv?under=.
+type EntryList struct {
+	Entries []Entry `json:"entries"`
+	More    bool    `json:"more"`
+	Ledger  Ledger  `json:"ledger"`
+}
+
+// Condition demands a key's version; 0 means that the key does not exist.
+type Condition struct {
+	Key   string `json:"key"`
+	Stamp Ledger `json:"stamp"`
+}
+
+// Change puts or drops one key.
+type Change struct {
+	Put    string          `json:"put,omitempty"`
+	Value  json.RawMessage `json:"v,omitempty"`
+	Permit Permit          `json:"permit,omitempty"`
+	Drop   string          `json:"drop,omitempty"`
+}
+
+// Transaction is the body of POST /multi.
+type Transaction struct {
+	If   []Condition `json:"if"`
+	Then []Change    `json:"then"`
+}
+
+// TransactionAnswer answers /multi with 200 or 409.
+type TransactionAnswer struct {
+	Ledger Ledger   `json:"ledger"`
+	Failed []string `json:"failed"`
+}
+
+// LogEntry is one change in the feed.
+type LogEntry struct {
+	Put   string          `json:"put,omitempty"`
+	Value json.RawMessage `json:"v,omitempty"`
+	Drop  string          `json:"drop,omitempty"`
+	Stamp Ledger          `json:"stamp"`
+}
+
+// Feed answers GET /follow.
+type Feed struct {
+	Ledger Ledger     `json:"ledger"`
+	Log    []LogEntry `json:"log"`
+}
+
+// PeerLine is one line between controllers. A line with neither a report nor a
+// machine list only says that its sender is alive.
+type PeerLine struct {
+	From string `json:"from"`
+	// StateFresh says that the sender has heard from the state service lately.
+	StateFresh bool `json:"state_fresh,omitempty"`
+	// Report is a worker's report as the sender got it.
+	Report *Report `json:"report,omitempty"`
+	// Cloud is the machine list as the sender read it.
+	Cloud []ListedMachine `json:"cloud,omitempty"`
+}
--- /dev/null
+++ b/wire/user.go
@@ -0,0 +1,250 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+)
+
+// MaxTasks is the largest number of tasks a job may have.
+const MaxTasks = 100_000
+
+// MaxBody is the largest request body the protocol allows.
+const MaxBody = 64 << 10
+
+// Shape says how a job's tasks depend on one another.
+type Shape string
+
+// The shapes of jobs.
+const (
+	ShapeArray   Shape = "batch"
+	ShapeGang    Shape = "group"
+	ShapeService Shape = "daemon"
+)
+
+// Rank is a job's priority.
+type Rank string
+
+// The ranks, most urgent first.
+const (
+	RankCritical   Rank = "critical"
+	RankHigh       Rank = "high"
+	RankNormal     Rank = "normal"
+	RankBestEffort Rank = "best_effort"
+)
+
+// Order gives 0 to the most urgent rank and rises from there.
+func (r Rank) Order() int {
+	switch r {
+	case RankCritical:
+		return 0
+	case RankHigh:
+		return 1
+	case RankNormal:
+		return 2
+	}
+	return 3
+}
+
+// JobSpec is a job as a user submits it.
+type JobSpec struct {
+	ID           JobID    `json:"id"`
+	Class        string   `json:"jobclass"`
+	Team         string   `json:"crew"`
+	Shape        Shape    `json:"shape"`
+	Rank         Rank     `json:"rank"`
+	Tasks        int      `json:"loads"`
+	Cores        float64  `json:"cores"`
+	Accelerators float64  `json:"accelerators"`
+	MemGB        float64  `json:"mem_gb"`
+	Image        string   `json:"kit"`
+	ImageGB      float64  `json:"size_gb"`
+	Types        []string `json:"rigtypes,omitempty"`
+	Zone         string   `json:"yard,omitempty"`
+	Together     bool     `json:"together,omitempty"`
+	Apart        bool     `json:"apart,omitempty"`
+	Spot         bool     `json:"loaners,omitempty"`
+	RuntimeS     float64  `json:"runtime_s"`
+	SavepointS   float64  `json:"savepoint_s,omitempty"`
+	StashS       float64  `json:"stash_s,omitempty"`
+	DueS         float64  `json:"due_s,omitempty"`
+}
+
+// submission mirrors JobSpec with pointers, so that a missing field is told
+// from a zero one.
+type submission struct {
+	ID           *JobID    `json:"id"`
+	Class        *string   `json:"jobclass"`
+	Team         *string   `json:"crew"`
+	Shape        *Shape    `json:"shape"`
+	Rank         *Rank     `json:"rank"`
+	Tasks        *int      `json:"loads"`
+	Cores        *float64  `json:"cores"`
+	Accelerators *float64  `json:"accelerators"`
+	MemGB        *float64  `json:"mem_gb"`
+	Image        *string   `json:"kit"`
+	ImageGB      *float64  `json:"size_gb"`
+	Types        *[]string `json:"rigtypes"`
+	Zone         *string   `json:"yard"`
+	Together     *bool     `json:"together"`
+	Apart        *bool     `json:"apart"`
+	Spot         *bool     `json:"loaners"`
+	RuntimeS     *float64  `json:"runtime_s"`
+	SavepointS   *float64  `json:"savepoint_s"`
+	StashS       *float64  `json:"stash_s"`
+	DueS         *float64  `json:"due_s"`
+}
+
+// Bounds of what a submission may say; beyond them it is a mistake.
+const (
+	maxAmount = 1e9
+	maxName   = 100
+	maxTypes  = 64
+)
+
+// ParseJob reads and checks a submission. Its error names the field at fault.
+func ParseJob(body []byte) (JobSpec, error) {
+	var s submission
+	if len(body) == 0 || firstByte(body) != '{' {
+		return JobSpec{}, errors.New("body: want a JSON object")
+	}
+	if err := json.Unmarshal(body, &s); err != nil {
+		var typeErr *json.UnmarshalTypeError
+		if errors.As(err, &typeErr) {
+			return JobSpec{}, fmt.Errorf("%s: wrong type or out of range", typeErr.Field)
+		}
+		return JobSpec{}, errors.New("body: not JSON")
+	}
+	var bad error
+	fail := func(field, why string) {
+		if bad == nil {
+			bad = fmt.Errorf("%s: %s", field, why)
+		}
+	}
+	text := func(field string, p *string) string {
+		if p == nil {
+			fail(field, "missing")
+			return ""
+		}
+		if *p == "" || len(*p) > maxName {
+			fail(field, "want 1 to 100 bytes")
+		}
+		return *p
+	}
+	amount := func(field string, p *float64) float64 {
+		if p == nil {
+			fail(field, "missing")
+			return 0
+		}
+		if !(*p >= 0 && *p <= maxAmount) || math.IsNaN(*p) {
+			fail(field, "out of range")
+		}
+		return *p
+	}
+	flag := func(field string, p *bool) bool {
+		if p == nil {
+			fail(field, "missing")
+			return false
+		}
+		return *p
+	}
+	var j JobSpec
+	switch {
+	case s.ID == nil:
+		fail("id", "missing")
+	case !s.ID.Valid():
+		fail("id", "want wk-NUMBER")
+	default:
+		j.ID = *s.ID
+	}
+	j.Class = text("jobclass", s.Class)
+	j.Team = text("crew", s.Team)
+	switch {
+	case s.Shape == nil:
+		fail("shape", "missing")
+	case *s.Shape != ShapeArray && *s.Shape != ShapeGang && *s.Shape != ShapeService:
+		fail("shape", "want batch, group or daemon")
+	default:
+		j.Shape = *s.Shape
+	}
+	switch {
+	case s.Rank == nil:
+		fail("rank", "missing")
+	case *s.Rank != RankCritical && *s.Rank != RankHigh && *s.Rank != RankNormal && *s.Rank != RankBestEffort:
+		fail("rank", "want critical, high, normal or best_effort")
+	default:
+		j.Rank = *s.Rank
+	}
+	switch {
+	case s.Tasks == nil:
+		fail("loads", "missing")
+	case *s.Tasks < 1 || *s.Tasks > MaxTasks:
+		fail("loads", "want 1 to 100000")
+	default:
+		j.Tasks = *s.Tasks
+	}
+	j.Cores = amount("cores", s.Cores)
+	j.Accelerators = amount("accelerators", s.Accelerators)
+	j.MemGB = amount("mem_gb", s.MemGB)
+	j.Image = text("kit", s.Image)
+	j.ImageGB = amount("size_gb", s.ImageGB)
+	if s.Types != nil {
+		if len(*s.Types) == 0 || len(*s.Types) > maxTypes {
+			fail("rigtypes", "want null or 1 to 64 names")
+		}
+		for i := range *s.Types {
+			text("rigtypes", &(*s.Types)[i])
+		}
+		j.Types = *s.Types
+	}
+	if s.Zone != nil {
+		j.Zone = text("yard", s.Zone)
+	}
+	j.Together = flag("together", s.Together)
+	j.Apart = flag("apart", s.Apart)
+	j.Spot = flag("loaners", s.Spot)
+	j.RuntimeS = amount("runtime_s", s.RuntimeS)
+	j.SavepointS = amount("savepoint_s", s.SavepointS)
+	j.StashS = amount("stash_s", s.StashS)
+	if s.DueS != nil {
+		j.DueS = amount("due_s", s.DueS)
+	}
+	return j, bad
+}
+
+func firstByte(b []byte) byte {
+	for _, c := range b {
+		if c != ' ' && c != '\t' && c != '\n' && c != '\r' {
+			return c
+		}
+	}
+	return 0
+}
+
+// Status is what a user is told of a job.
+type Status string
+
+// The statuses of jobs.
+const (
+	StatusPending   Status = "pending"
+	StatusRunning   Status = "running"
+	StatusDone      Status = "done"
+	StatusWithdrawn Status = "withdrawn"
+)
+
+// Final reports whether the status never changes again.
+func (s Status) Final() bool { return s == StatusDone || s == StatusWithdrawn }
+
+// JobStatus answers a submission, a poll or a cancellation.
+type JobStatus struct {
+	ID      JobID  `json:"id"`
+	Status  Status `json:"status"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// Problem says why a request was refused.
+type Problem struct {
+	Error string `json:"error"`
+}
