--- /dev/null
+++ b/internal/core/taskset_test.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestTaskSet compares every operation with plain sets of numbers.
+func TestTaskSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		numbers := rapid.SliceOfN(rapid.IntRange(0, 40), 0, 30)
+		build := func(name string) (TaskSet, map[int]bool) {
+			var s TaskSet
+			plain := map[int]bool{}
+			for _, i := range numbers.Draw(t, name) {
+				s = s.Add(i)
+				plain[i] = true
+			}
+			return s, plain
+		}
+		a, pa := build("a")
+		b, pb := build("b")
+		n := rapid.IntRange(0, 40).Draw(t, "n")
+		first, rest := a.Take(n)
+		require.Equal(t, min(n, len(pa)), first.Len())
+		require.Equal(t, a, first.With(rest))
+		require.Equal(t, len(pa), a.Len())
+		for i := range 45 {
+			require.Equal(t, pa[i], a.Has(i))
+			require.Equal(t, pa[i] || pb[i], a.With(b).Has(i))
+			require.Equal(t, pa[i] && !pb[i], a.Without(b).Has(i))
+			require.Equal(t, pa[i] && pb[i], a.And(b).Has(i))
+			require.False(t, first.Has(i) && rest.Has(i))
+		}
+		text, err := json.Marshal(a)
+		require.NoError(t, err)
+		var back TaskSet
+		require.NoError(t, json.Unmarshal(text, &back))
+		require.Equal(t, a.Len(), back.Len())
+		require.True(t, a.Without(back).Empty())
+	})
+}
