--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -80,8 +80,13 @@
 		if number == 0 {
 			continue
 		}
-		number = min(number, wire.MaxHire)
-		out = append(out, Purchase{best, number})
+		if k := slices.IndexFunc(out, func(p Purchase) bool { return p.Offer.Key() == best.Key() }); k >= 0 {
+			number = min(number, wire.MaxHire-out[k].Number)
+			out[k].Number += number
+		} else {
+			number = min(number, wire.MaxHire)
+			out = append(out, Purchase{best, number})
+		}
 		for range number {
 			coming = append(coming, best.Host("", slots))
 		}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -29,12 +29,27 @@
 	lists     int // good lists since this controller became the buyer
 	hiring    int
 	nextBuy   Time
-	refused   map[capacity.Key]Time // not before
+	refused   map[capacity.Key]refusal
 	returning bool
 	dooming   map[wire.MachineID]bool
 	silentAt  []Time // when machines were given up for their silence
 }
 
+// refusal is an offer that the cloud had no machine for.
+type refusal struct {
+	until Time
+	pause time.Duration
+}
+
+// refuseOffer keeps an offer from being asked for over and over: cheap offers that
+// are sold out must not hide dear ones that are not.
+func (c *Core) refuseOffer(key capacity.Key) {
+	r := c.refused[key]
+	r.pause = min(max(2*r.pause, refusalPause), refusalMost)
+	r.until = c.now.Add(r.pause)
+	c.refused[key] = r
+}
+
 // demand is a number of a job's tasks without room.
 type demand struct {
 	job      *job
@@ -43,7 +58,7 @@
 }
 
 func (v *cloudView) init() {
-	v.refused = map[capacity.Key]Time{}
+	v.refused = map[capacity.Key]refusal{}
 	v.dooming = map[wire.MachineID]bool{}
 }
 
@@ -52,8 +67,10 @@
 	listEvery      = 2 * time.Second
 	buyEvery       = 300 * time.Millisecond
 	claimPatience  = 3 * time.Second
-	refusalPause   = 8 * time.Second
-	idleReturn     = 60 * time.Second
+	refusalPause   = 5 * time.Second // doubled with every refusal in a row
+	refusalMost    = 40 * time.Second
+	hiresAtOnce    = 4
+	idleReturn     = 40 * time.Second
 	silentReturn   = 9 * time.Second
 	silentWindow   = 10 * time.Second
 	silentMost     = 4 // machines given up in a window
@@ -248,7 +265,10 @@
 			demands = append(demands, s)
 		}
 	}
-	for _, p := range capacity.Plan(demands, coming, c.offers(), maxPerHost) {
+	for i, p := range capacity.Plan(demands, coming, c.offers(), maxPerHost) {
+		if i == hiresAtOnce {
+			break
+		}
 		c.hire(wire.Hire{
 			Name: fmt.Sprintf("%s-%d", c.set.Label, c.serial()),
 			Type: p.Offer.Type.Name, Zone: p.Offer.Zone, Spot: p.Offer.Spot, Number: p.Number,
@@ -275,7 +295,7 @@
 			}
 			for _, spot := range []bool{false, true} {
 				o := capacity.Offer{Type: t, Zone: zone, Spot: spot}
-				if c.after(c.refused[o.Key()]) {
+				if c.after(c.refused[o.Key()].until) {
 					out = append(out, o)
 				}
 			}
@@ -299,14 +319,15 @@
 				}
 				m.born, m.listed = c.now, c.now
 			}
+			delete(c.refused, key)
 			if len(r.Names) < h.Number {
-				c.refused[key] = c.now.Add(refusalPause)
+				c.refuseOffer(key)
 			}
 		case r.Outcome == Unknown && tries > 1:
 			// The name makes the repeat safe: it rents nothing twice.
 			c.hire(h, tries-1)
 		case r.Refused:
-			c.refused[key] = c.now.Add(refusalPause)
+			c.refuseOffer(key)
 		default:
 			c.nextBuy = c.now.Add(time.Second)
 		}
