--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -219,7 +218,7 @@
 		tasks int
 	}
 	classes := map[string]*seen{}
-	for _, id := range c.jobIDs() {
+	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
 		s := classes[j.spec.Class]
 		if s == nil {
@@ -249,7 +248,7 @@
 		return
 	}
 	var coming placement.Fleet
-	for _, id := range sortedMachines(c.machines) {
+	for _, id := range sortedKeys(c.machines) {
 		if m := c.machines[id]; c.coming(m) {
 			o := capacity.Offer{Type: *c.kind(m.kind), Zone: m.zone, Spot: m.spot}
 			coming = append(coming, o.Host(m.id, maxPerHost))
@@ -276,15 +275,6 @@
 	}
 }
 
-func sortedMachines(m map[wire.MachineID]*machine) []wire.MachineID {
-	ids := make([]wire.MachineID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // offers is all the cloud may have, less what it refused lately.
 func (c *Core) offers() []capacity.Offer {
 	var out []capacity.Offer
@@ -337,7 +327,7 @@
 // spoil finds machines that should go: dead, silent, never up, or idle.
 func (c *Core) spoil() {
 	c.reindex()
-	for id := range c.onMachine {
+	for _, id := range sortedKeys(c.onMachine) {
 		c.machineOf(id) // one that neither reports nor is listed is silent too
 	}
 	silent, reporting := 0, 0
@@ -352,7 +342,7 @@
 	// Many silent at once, and no sibling that hears them: it may be us who is
 	// cut off.
 	cutOff := silent > 2 && 3*silent > reporting && !c.siblingsWell()
-	for _, id := range sortedMachines(c.machines) {
+	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
 		if _, doomed := c.dooms[id]; m.gone || c.dooming[id] || doomed && !c.dooms[id].Over {
 			continue
@@ -428,7 +418,7 @@
 	c.reindex()
 	var names []wire.MachineID
 	var txn wire.Transaction
-	for _, id := range sortedDooms(c.dooms) {
+	for _, id := range sortedKeys(c.dooms) {
 		d, key := c.dooms[id], doomKey(id)
 		if d.Over || c.dooming[id] || c.ver[key] > c.feed {
 			continue
@@ -475,12 +465,3 @@
 		Then: []wire.Change{put(key, doomRecord{Why: c.dooms[id].Why, Over: true})},
 	}, func(Committed) { delete(c.dooming, id) })
 }
-
-func sortedDooms(m map[wire.MachineID]doomRecord) []wire.MachineID {
-	ids := make([]wire.MachineID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, cmp.Compare[wire.MachineID])
-	return ids
-}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -446,7 +446,8 @@
 	c.nextLook = c.now.Add(200 * time.Millisecond)
 	c.reindex()
 	uncleared, oldest := 0, false
-	for id, m := range c.machines {
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
 		if m.gone || c.now.Sub(c.lastSign(m)) > forgetAfter && c.now.Sub(m.listed) > forgetAfter {
 			if len(c.onMachine[id]) == 0 && (!m.gone || c.now.Sub(m.goneAt) > forgetAfter) {
 				delete(c.machines, id)
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -68,8 +68,10 @@
 	c.dirty = true
 	clear(c.onMachine)
 	clear(c.ofJob)
-	for _, t := range c.teams {
-		for _, p := range t.pages {
+	for _, name := range sortedKeys(c.teams) {
+		t := c.teams[name]
+		for _, key := range sortedKeys(t.pages) {
+			p := t.pages[key]
 			for i := range p.entries {
 				e := &p.entries[i]
 				c.onMachine[e.Machine] = append(c.onMachine[e.Machine], e)
@@ -194,8 +196,8 @@
 	}
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
 	}
@@ -396,7 +398,7 @@
 // mendGangs stops what is left of a gang that lost a task, so that it can start
 // again as a whole.
 func (c *Core) mendGangs(rounds map[string]*round) {
-	for _, id := range c.jobIDs() {
+	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
 		r := rounds[j.spec.Team]
 		if j.spec.Shape != wire.ShapeGang || r == nil || !c.mine(j.spec.Team) || !c.fits(r, 4) {
@@ -415,19 +417,11 @@
 	}
 }
 
-func (c *Core) jobIDs() []wire.JobID {
-	ids := make([]wire.JobID, 0, len(c.jobs))
-	for id := range c.jobs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // drain stops tasks on machines that the cloud is about to take, as late as
 // they can still save.
 func (c *Core) drain(rounds map[string]*round) {
-	for id, m := range c.machines {
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
 		if m.recallAt == 0 {
 			continue
 		}
@@ -470,23 +464,21 @@
 		r.conds[key] = d.stamp
 		txn.Then = append(txn.Then, put(key, pageValue{d.entries}))
 	}
-	ended := 0
-	for id, done := range r.done {
+	for _, id := range sortedKeys(r.done) {
+		done := r.done[id]
 		j := c.jobs[id]
 		all := j.done.With(done)
 		if all.Len() == j.spec.Tasks {
-			ended++
 			r.conds[finalKey(id)] = 0
 			txn.Then = append(txn.Then,
 				put(finalKey(id), finalRecord{Status: wire.StatusDone, Done: j.spec.Tasks}), wire.Change{Drop: jobKey(id)})
 			continue
 		}
 		size := c.donePageSize()
-		touched := map[int]bool{}
-		for i := range done.All {
-			touched[i/size] = true
-		}
-		for n := range touched {
+		for n := 0; n*size < j.spec.Tasks; n++ {
+			if done.And(Span(n*size, (n+1)*size)).Empty() {
+				continue
+			}
 			set := j.done.With(done).And(Span(n*size, (n+1)*size))
 			txn.Then = append(txn.Then, put(doneKey(id, n), set))
 		}
@@ -527,8 +519,8 @@
 				t.tries, t.locked = 0, nil
 			}
 			c.reindex()
-			for m := range r.tell {
-				if m := c.machines[m]; m != nil {
+			for _, id := range sortedKeys(r.tell) {
+				if m := c.machines[id]; m != nil {
 					c.pushNow(m)
 				}
 			}
@@ -636,12 +628,7 @@
 func (c *Core) hosts(rounds map[string]*round) (placement.Fleet, map[wire.MachineID]*placement.Host) {
 	var fleet placement.Fleet
 	byID := map[wire.MachineID]*placement.Host{}
-	ids := make([]wire.MachineID, 0, len(c.machines))
-	for id := range c.machines {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
 		t := c.kind(m.kind)
 		if t == nil || m.newest == nil || m.gone {
@@ -776,7 +763,7 @@
 func (c *Core) queue(rounds map[string]*round, placed map[wire.JobID]TaskSet, zones map[wire.JobID]string) []waiting {
 	promised := c.promised()
 	var queue []waiting
-	for _, id := range c.jobIDs() {
+	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
 		missing := Span(0, j.spec.Tasks).Without(j.done).Without(placed[id])
 		if r := c.teamOf(j.spec.Team).writing; r != nil {
--- /dev/null
+++ b/internal/standin/machine.go
@@ -0,0 +1,323 @@
+package standin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lilacrill/internal/core"
+	"lilacrill/wire"
+)
+
+// task is one attempt on a machine.
+type task struct {
+	id      wire.TaskID
+	attempt wire.Attempt
+	state   wire.TaskState
+	cause   wire.Cause
+	stored  bool
+	on      bool // has its image and has not exited: counts for the rules
+	halted  core.Time
+	doneAt  core.Time // when it completes, while running
+	epoch   int       // stale timers are told by it
+}
+
+type taskKey struct {
+	id      wire.TaskID
+	attempt wire.Attempt
+}
+
+// machine is a rented machine with its worker.
+type machine struct {
+	w      *World
+	id     wire.MachineID
+	kind   wire.MachineType
+	zone   string
+	spot   bool
+	born   core.Time
+	up     bool
+	dead   bool // gone, or died
+	deadAt core.Time
+	hung   bool
+	queue  []func() // what arrived while it hung
+
+	shift    wire.Shift
+	tally    wire.Tally
+	baton    wire.Baton
+	tasks    map[taskKey]*task
+	answered core.Time // when the last answered report was sent
+	node     int
+	sending  bool
+	sent     int
+	recall   core.Time
+	faulty   bool
+}
+
+func (m *machine) report() *wire.Report {
+	m.tally++
+	r := &wire.Report{Machine: m.id, Addr: string(m.id), Type: m.kind.Name, Zone: m.zone, Spot: m.spot,
+		Shift: m.shift, Tally: m.tally, Baton: m.baton}
+	if m.recall != 0 {
+		s := m.recall.Sub(m.w.now).Seconds()
+		r.RecallS = &s
+	}
+	for _, t := range m.sorted() {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.id, Attempt: t.attempt, State: t.state, Cause: t.cause, Stored: t.stored})
+	}
+	return r
+}
+
+// sorted is the tasks in a fixed order, so that a world repeats.
+func (m *machine) sorted() []*task {
+	out := make([]*task, 0, len(m.tasks))
+	for _, t := range m.tasks {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), a.id.Index-b.id.Index, cmp.Compare(a.attempt, b.attempt))
+	})
+	return out
+}
+
+// act runs f now, or when the machine no longer hangs.
+func (m *machine) act(f func()) {
+	switch {
+	case m.dead:
+	case m.hung:
+		m.queue = append(m.queue, f)
+	default:
+		m.expire()
+		f()
+	}
+}
+
+func (m *machine) resume() {
+	m.hung = false
+	m.expire()
+	queue := m.queue
+	m.queue = nil
+	for _, f := range queue {
+		m.act(f)
+	}
+}
+
+// expire ends the session when the lease is over.
+func (m *machine) expire() {
+	if m.w.now-m.answered <= core.Time(m.w.Lease) {
+		return
+	}
+	for _, t := range m.tasks {
+		t.on = false
+		t.epoch++
+	}
+	m.tasks = map[taskKey]*task{}
+	m.shift++
+	m.answered = m.w.now
+}
+
+func (m *machine) reportLoop() {
+	w := m.w
+	if m.dead {
+		return
+	}
+	m.act(m.sendReport)
+	w.after(time.Duration(float64(w.ReportEvery)*(0.75+0.5*w.rng.Float64())), m.reportLoop)
+}
+
+func (m *machine) sendReport() {
+	w := m.w
+	if m.sending {
+		return
+	}
+	m.sending = true
+	m.sent++
+	n, sentAt, shift, mark := w.nodes[m.node], w.now, m.shift, m.sent
+	open := true
+	finish := func(f func()) {
+		m.act(func() {
+			if !open || m.sent != mark {
+				return
+			}
+			open = false
+			m.sending = false
+			f()
+		})
+	}
+	w.after(4*time.Second, func() { finish(m.nextNode) })
+	r := m.report()
+	w.toNode(n, func(id core.RequestID) core.Input { return core.Reported{Request: id, Report: r} },
+		func(rep core.Reply) {
+			finish(func() {
+				a, ok := rep.Body.(wire.ReportAnswer)
+				if !ok || rep.Status != 200 {
+					m.nextNode()
+					return
+				}
+				if a.Baton < m.baton || m.shift != shift {
+					return
+				}
+				m.baton = a.Baton
+				m.answered = max(m.answered, sentAt)
+				m.obey(a.Orders)
+			})
+		})
+}
+
+func (m *machine) nextNode() { m.node = (m.node + 1) % len(m.w.nodes) }
+
+// do is POST /do.
+func (m *machine) do(body wire.DoRequest) core.Answered {
+	if body.Baton < m.baton || body.Shift != m.shift {
+		return core.Answered{Outcome: core.NotDone, Report: m.report()}
+	}
+	m.baton = body.Baton
+	m.obey(body.Orders)
+	return core.Answered{Outcome: core.Done, Executed: true, Report: m.report()}
+}
+
+func (m *machine) obey(orders []wire.Order) {
+	for _, o := range orders {
+		key := taskKey{o.Task, o.Attempt}
+		t := m.tasks[key]
+		switch o.Verb {
+		case wire.VerbLaunch:
+			if t == nil {
+				m.launch(o)
+			}
+		case wire.VerbStop:
+			if t != nil && t.state != wire.TaskExited {
+				m.stop(t, *o.WindupS)
+			}
+		case wire.VerbClear:
+			if t != nil && t.state == wire.TaskExited {
+				delete(m.tasks, key)
+			}
+		}
+	}
+}
+
+func (m *machine) launch(o wire.Order) {
+	w := m.w
+	t := &task{id: o.Task, attempt: o.Attempt, state: wire.TaskPulling}
+	m.tasks[taskKey{o.Task, o.Attempt}] = t
+	j := w.jobs[o.Task.Job]
+	if j == nil {
+		w.breaks("invented: launch of %v, which nobody submitted", o.Task)
+		return
+	}
+	var cores, accel, mem float64
+	for _, x := range m.tasks {
+		if x == t || x.state == wire.TaskExited {
+			continue
+		}
+		if x.id == t.id {
+			t.state, t.cause = wire.TaskExited, wire.CauseInUse
+			return
+		}
+		spec := &w.jobs[x.id.Job].spec
+		cores, accel, mem = cores+spec.Cores, accel+spec.Accelerators, mem+spec.MemGB
+	}
+	s := &j.spec
+	if cores+s.Cores > m.kind.Cores || accel+s.Accelerators > m.kind.Accelerators || mem+s.MemGB > m.kind.MemGB {
+		t.state, t.cause = wire.TaskExited, wire.CauseNoRoom
+		return
+	}
+	w.after(time.Duration(w.rng.Int64N(int64(2*time.Second))), func() {
+		m.act(func() {
+			if t.state == wire.TaskPulling && m.tasks[taskKey{t.id, t.attempt}] == t {
+				m.start(t, j)
+			}
+		})
+	})
+}
+
+func (m *machine) start(t *task, j *userJob) {
+	w := m.w
+	t.on = true
+	w.started(m, t, j)
+	if m.faulty {
+		w.after(time.Second, func() { m.act(func() { m.exit(t, wire.CauseError) }) })
+	}
+	if j.spec.Shape == wire.ShapeGang {
+		t.state = wire.TaskWaiting
+		w.after(w.GangWait, func() {
+			m.act(func() {
+				if t.state == wire.TaskWaiting {
+					m.exit(t, wire.CauseIncomplete)
+				}
+			})
+		})
+		w.gangReady(j, t.attempt)
+		return
+	}
+	m.run(t, j)
+}
+
+func (m *machine) run(t *task, j *userJob) {
+	t.state = wire.TaskRunning
+	if j.spec.Shape == wire.ShapeService {
+		return
+	}
+	d := j.runtime
+	if j.complete[t.id.Index] {
+		d = 0
+	}
+	m.w.after(d, func() {
+		m.act(func() {
+			if t.state == wire.TaskRunning && t.on {
+				if j.spec.Shape == wire.ShapeGang {
+					m.w.gangDone(j, t.attempt)
+				} else {
+					m.exit(t, wire.CauseDone)
+				}
+			}
+		})
+	})
+}
+
+func (m *machine) stop(t *task, windup float64) {
+	w := m.w
+	j := w.jobs[t.id.Job]
+	if t.state == wire.TaskRunning && j.spec.SavepointS > 0 && windup >= j.spec.StashS {
+		t.state = wire.TaskFlushing
+		w.after(time.Duration(j.spec.StashS*float64(time.Second)), func() {
+			m.act(func() {
+				if t.state == wire.TaskFlushing {
+					t.stored = true
+					m.exit(t, wire.CauseHalted)
+				}
+			})
+		})
+		return
+	}
+	if t.state == wire.TaskFlushing && windup > 0 {
+		return
+	}
+	m.exit(t, wire.CauseHalted)
+}
+
+func (m *machine) exit(t *task, why wire.Cause) {
+	if t.state == wire.TaskExited || m.tasks[taskKey{t.id, t.attempt}] != t {
+		return
+	}
+	wasRunning := t.state == wire.TaskRunning || t.state == wire.TaskFlushing
+	t.state, t.cause, t.on = wire.TaskExited, why, false
+	j := m.w.jobs[t.id.Job]
+	if why == wire.CauseDone {
+		j.complete[t.id.Index] = true
+	} else if j.spec.Shape == wire.ShapeGang && wasRunning {
+		m.w.gangLost(j, t.attempt)
+	}
+	m.sendReport()
+}
+
+// vanish ends the machine and everything on it.
+func (m *machine) vanish() {
+	m.dead, m.deadAt = true, m.w.now
+	for _, t := range m.sorted() {
+		if t.on && m.w.jobs[t.id.Job].spec.Shape == wire.ShapeGang && t.state != wire.TaskWaiting {
+			m.w.gangLost(m.w.jobs[t.id.Job], t.attempt)
+		}
+		t.on = false
+	}
+}
--- /dev/null
+++ b/internal/standin/rules.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"lilacrill/wire"
+)
+
+// onMachines yields every task that is on a machine.
+func (w *World) onMachines(f func(*machine, *task)) {
+	for _, m := range w.machines {
+		if m.dead {
+			continue
+		}
+		for _, t := range m.sorted() {
+			if t.on {
+				f(m, t)
+			}
+		}
+	}
+}
+
+// started holds the start of a task against the rules.
+func (w *World) started(m *machine, t *task, j *userJob) {
+	s := &j.spec
+	if !j.submitted {
+		w.breaks("invented: start of %v before its submission", t.id)
+	}
+	sameZone := 1
+	w.onMachines(func(om *machine, o *task) {
+		if o == t || o.id.Job != t.id.Job {
+			return
+		}
+		if o.id == t.id && om != m {
+			w.breaks("ran_twice: %v on %s and %s", t.id, om.id, m.id)
+		}
+		if s.Together && om.zone != m.zone {
+			w.breaks("wrong_place: %v in %s, another in %s", t.id, m.zone, om.zone)
+		}
+		if om.zone == m.zone {
+			sameZone++
+		}
+	})
+	if s.Apart && sameZone > (s.Tasks+1)/2 {
+		w.breaks("wrong_place: %d tasks of %s in %s", sameZone, s.ID, m.zone)
+	}
+	if s.Zone != "" && s.Zone != m.zone || m.spot && !s.Spot || len(s.Types) > 0 && !slices.Contains(s.Types, m.kind.Name) {
+		w.breaks("wrong_place: %v on %s (%s, %s, spot %v)", t.id, m.id, m.kind.Name, m.zone, m.spot)
+	}
+	if j.told == wire.StatusWithdrawn && w.now.Sub(j.toldAt) > w.Cancel {
+		w.breaks("ran_cancelled: start of %v", t.id)
+	}
+}
+
+// check holds what is on the machines against the rules.
+func (w *World) check() {
+	type use struct{ cores, accel float64 }
+	used := map[string]use{}
+	w.onMachines(func(m *machine, t *task) {
+		j := w.jobs[t.id.Job]
+		u := used[j.spec.Team]
+		used[j.spec.Team] = use{u.cores + j.spec.Cores, u.accel + j.spec.Accelerators}
+		if j.told == wire.StatusWithdrawn && w.now.Sub(j.toldAt) > w.Cancel {
+			w.breaks("ran_cancelled: %v on %s", t.id, m.id)
+		}
+	})
+	for _, t := range w.Settings.Cluster.Teams {
+		if u := used[t.Name]; u.cores > t.CPUsMax+1e-6 || u.accel > t.GPUsMax+1e-6 {
+			w.breaks("quota: %s uses %v cores, %v accelerators", t.Name, u.cores, u.accel)
+		}
+	}
+}
+
+// gang finds a gang's tasks of one attempt that are on machines.
+func (w *World) gang(j *userJob, a wire.Attempt) (ms []*machine, ts []*task) {
+	w.onMachines(func(m *machine, t *task) {
+		if t.id.Job == j.spec.ID && t.attempt == a {
+			ms, ts = append(ms, m), append(ts, t)
+		}
+	})
+	return ms, ts
+}
+
+// gangReady starts a gang once all its tasks wait.
+func (w *World) gangReady(j *userJob, a wire.Attempt) {
+	ms, ts := w.gang(j, a)
+	if len(ts) < j.spec.Tasks {
+		return
+	}
+	for _, t := range ts {
+		if t.state != wire.TaskWaiting {
+			return
+		}
+	}
+	for i, t := range ts {
+		ms[i].run(t, j)
+	}
+}
+
+func (w *World) gangDone(j *userJob, a wire.Attempt) {
+	ms, ts := w.gang(j, a)
+	if len(ts) < j.spec.Tasks || slices.ContainsFunc(ts, func(t *task) bool { return t.state != wire.TaskRunning }) {
+		return
+	}
+	for i := range j.spec.Tasks {
+		j.complete[i] = true
+	}
+	for i, t := range ts {
+		t.on = false
+		t.state, t.cause = wire.TaskExited, wire.CauseDone
+		if !ms[i].hung {
+			ms[i].sendReport()
+		}
+	}
+}
+
+// gangLost has the rest of a gang notice that a task is gone.
+func (w *World) gangLost(j *userJob, a wire.Attempt) {
+	w.after(time.Duration(w.rng.Int64N(int64(w.GangPeer))), func() {
+		ms, ts := w.gang(j, a)
+		for i, t := range ts {
+			if t.state == wire.TaskRunning {
+				ms[i].act(func() {
+					if t.state == wire.TaskRunning {
+						t.on = false
+						t.state, t.cause = wire.TaskExited, wire.CausePeers
+					}
+				})
+			}
+		}
+	})
+}
+
+// Has reports whether a rule of this name was broken.
+func (w *World) Has(rule string) bool {
+	return slices.ContainsFunc(w.Broken, func(s string) bool { return strings.Contains(s, rule) })
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,156 @@
+// Package standin holds stand-ins for everything outside lilacrill, written
+// from its protocol: a state service, a cloud, workers and users, and a world
+// in which they and several cores live on one virtual clock. The world checks
+// the protocol's rules itself. It serves tests only.
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"lilacrill/internal/core"
+	"lilacrill/wire"
+)
+
+// Store is the state service: a key-value store with revisions, leases and a
+// feed. Its clock is the caller's.
+type Store struct {
+	ledger wire.Ledger
+	values map[string]stored
+	log    []wire.LogEntry
+	leases map[wire.Permit]*lease
+	permit wire.Permit
+	// OnChange, if set, is called after every change.
+	OnChange func()
+}
+
+type stored struct {
+	value  json.RawMessage
+	stamp  wire.Ledger
+	permit wire.Permit
+}
+
+type lease struct {
+	ttl  core.Time
+	ends core.Time
+}
+
+// NewStore makes an empty store.
+func NewStore() *Store {
+	return &Store{values: map[string]stored{}, leases: map[wire.Permit]*lease{}}
+}
+
+// Ledger is the present revision.
+func (s *Store) Ledger() wire.Ledger { return s.ledger }
+
+// Get reads one key.
+func (s *Store) Get(key string) (json.RawMessage, wire.Ledger, bool) {
+	v, ok := s.values[key]
+	return v.value, v.stamp, ok
+}
+
+// List reads all keys with a prefix, in order.
+func (s *Store) List(prefix string) []wire.Entry {
+	var out []wire.Entry
+	for key, v := range s.values {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, wire.Entry{Key: key, Value: v.value, Stamp: v.stamp})
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// Feed is all changes under a prefix after a revision.
+func (s *Store) Feed(prefix string, after wire.Ledger) wire.Feed {
+	f := wire.Feed{Ledger: s.ledger}
+	i, _ := slices.BinarySearchFunc(s.log, after+1, func(l wire.LogEntry, a wire.Ledger) int {
+		return int(int64(l.Stamp) - int64(a))
+	})
+	for _, l := range s.log[i:] {
+		if strings.HasPrefix(l.Put+l.Drop, prefix) {
+			f.Log = append(f.Log, l)
+		}
+	}
+	return f
+}
+
+// Multi runs a transaction.
+func (s *Store) Multi(t wire.Transaction) core.Committed {
+	var failed []string
+	for _, c := range t.If {
+		if s.values[c.Key].stamp != c.Stamp {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return core.Committed{Outcome: core.Conflict, Ledger: s.ledger, Failed: failed}
+	}
+	for _, ch := range t.Then {
+		if ch.Permit != 0 && s.leases[ch.Permit] == nil {
+			return core.Committed{Outcome: core.Missing}
+		}
+	}
+	if len(t.Then) > 0 {
+		s.ledger++
+	}
+	for _, ch := range t.Then {
+		if ch.Put != "" {
+			s.values[ch.Put] = stored{ch.Value, s.ledger, ch.Permit}
+			s.log = append(s.log, wire.LogEntry{Put: ch.Put, Value: ch.Value, Stamp: s.ledger})
+		} else if _, ok := s.values[ch.Drop]; ok {
+			delete(s.values, ch.Drop)
+			s.log = append(s.log, wire.LogEntry{Drop: ch.Drop, Stamp: s.ledger})
+		}
+	}
+	if s.OnChange != nil && len(t.Then) > 0 {
+		s.OnChange()
+	}
+	return core.Committed{Outcome: core.Done, Ledger: s.ledger}
+}
+
+// Grant makes a lease.
+func (s *Store) Grant(now, ttl core.Time) wire.Permit {
+	s.permit++
+	s.leases[s.permit] = &lease{ttl, now + ttl}
+	return s.permit
+}
+
+// Extend renews a lease and reports whether it still was.
+func (s *Store) Extend(now core.Time, p wire.Permit) bool {
+	l := s.leases[p]
+	if l != nil {
+		l.ends = now + l.ttl
+	}
+	return l != nil
+}
+
+// Expire ends the leases that were not renewed in time.
+func (s *Store) Expire(now core.Time) {
+	for _, p := range slices.Sorted(maps.Keys(s.leases)) {
+		l := s.leases[p]
+		if now < l.ends {
+			continue
+		}
+		delete(s.leases, p)
+		var drops []wire.Change
+		for key, v := range s.values {
+			if v.permit == p {
+				drops = append(drops, wire.Change{Drop: key})
+			}
+		}
+		slices.SortFunc(drops, func(a, b wire.Change) int { return strings.Compare(a.Drop, b.Drop) })
+		if len(drops) > 0 {
+			s.Multi(wire.Transaction{Then: drops})
+		}
+	}
+}
+
+// RenewAll gives every lease its full time, as after an outage.
+func (s *Store) RenewAll(now core.Time) {
+	for _, l := range s.leases {
+		l.ends = now + l.ttl
+	}
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,137 @@
+package standin
+
+import (
+	"time"
+
+	"lilacrill/internal/core"
+	"lilacrill/wire"
+)
+
+func (w *World) anyNode() *node { return w.nodes[w.rng.IntN(len(w.nodes))] }
+
+// Submit has a user submit a job, and repeat it until it is accepted. Its tasks
+// run for runtime.
+func (w *World) Submit(spec wire.JobSpec, runtime time.Duration) {
+	j := w.jobs[spec.ID]
+	if j == nil {
+		j = &userJob{spec: spec, runtime: runtime, complete: map[int]bool{}}
+		w.jobs[spec.ID] = j
+	}
+	var try func()
+	try = func() {
+		j.submitted = true
+		w.ask(func(id core.RequestID) core.Input { return core.Submitted{Request: id, Spec: spec} },
+			func(r core.Reply, ok bool) {
+				if s, good := r.Body.(wire.JobStatus); ok && good && (r.Status == 200 || r.Status == 201) {
+					w.tell(j, s.Status)
+					w.poll(j)
+					return
+				}
+				if ok && r.Status == 422 {
+					if j.accepted {
+						w.breaks("forgotten: repeat of %s got 422", spec.ID)
+					}
+					return
+				}
+				w.after(time.Second, try)
+			})
+	}
+	try()
+}
+
+// ask sends a request to some controller and gives up after 5 s.
+func (w *World) ask(makeInput func(core.RequestID) core.Input, then func(core.Reply, bool)) {
+	open := true
+	w.after(5*time.Second, func() {
+		if open {
+			open = false
+			then(core.Reply{}, false)
+		}
+	})
+	w.toNode(w.anyNode(), makeInput, func(r core.Reply) {
+		if open {
+			open = false
+			then(r, true)
+		}
+	})
+}
+
+// tell notes what a user was told and holds it against what was said before
+// and what is the case.
+func (w *World) tell(j *userJob, s wire.Status) {
+	j.accepted = true
+	if j.told.Final() && s != j.told {
+		w.breaks("went_back: %s was %s and is now %s", j.spec.ID, j.told, s)
+	}
+	if s == wire.StatusWithdrawn && !j.cancelAsk {
+		w.breaks("went_back: %s withdrawn, but nobody asked", j.spec.ID)
+	}
+	if s == wire.StatusDone && len(j.complete) < j.spec.Tasks {
+		w.breaks("not_done: %s told done with %d of %d", j.spec.ID, len(j.complete), j.spec.Tasks)
+	}
+	if s.Final() && !j.told.Final() {
+		j.toldAt = w.now
+	}
+	if !j.told.Final() {
+		j.told = s
+	}
+}
+
+func (w *World) poll(j *userJob) {
+	w.ask(func(id core.RequestID) core.Input { return core.Polled{Request: id, Job: j.spec.ID} },
+		func(r core.Reply, ok bool) {
+			switch {
+			case ok && r.Status == 200:
+				w.tell(j, r.Body.(wire.JobStatus).Status)
+			case ok && r.Status == 404:
+				w.breaks("forgotten: poll of %s got 404", j.spec.ID)
+			}
+			w.after(3*time.Second, func() { w.poll(j) })
+		})
+}
+
+// AskUnknown polls a job that nobody submitted.
+func (w *World) AskUnknown(id wire.JobID) {
+	w.ask(func(r core.RequestID) core.Input { return core.Polled{Request: r, Job: id} },
+		func(r core.Reply, ok bool) {
+			if ok && r.Status == 200 {
+				w.breaks("invented: %s", id)
+			}
+		})
+}
+
+// CancelJob has a user cancel a job, and repeat it until that is answered.
+func (w *World) CancelJob(id wire.JobID) {
+	j := w.jobs[id]
+	if j == nil {
+		return
+	}
+	var try func()
+	try = func() {
+		if !j.accepted {
+			w.after(time.Second, try)
+			return
+		}
+		j.cancelAsk = true
+		w.ask(func(r core.RequestID) core.Input { return core.CancelAsked{Request: r, Job: id} },
+			func(r core.Reply, ok bool) {
+				if s, good := r.Body.(wire.JobStatus); ok && good && s.Status.Final() {
+					w.tell(j, s.Status)
+					return
+				}
+				w.after(time.Second, try)
+			})
+	}
+	try()
+}
+
+// Unfinished names the jobs that are not over.
+func (w *World) Unfinished() []wire.JobID {
+	var out []wire.JobID
+	for id, j := range w.jobs {
+		if j.submitted && !j.told.Final() && j.spec.Shape != wire.ShapeService {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,538 @@
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lilacrill/internal/config"
+	"lilacrill/internal/core"
+	"lilacrill/wire"
+)
+
+// World is a simulated deployment on a virtual clock.
+type World struct {
+	Settings    config.Settings
+	Lease       time.Duration
+	ReportEvery time.Duration
+	GangWait    time.Duration
+	GangPeer    time.Duration
+	Cancel      time.Duration
+
+	// Loss is the part of the messages that is lost, or whose answer is lost,
+	// or that is held up and carried out late.
+	Loss float64
+	// StateDown and CloudDown are outages; CutState names controllers that the
+	// state service refuses, CutWorkers such that workers do not reach.
+	StateDown, CloudDown bool
+	CutState, CutWorkers map[int]bool
+	// SlowState is added to the state service's answers.
+	SlowState time.Duration
+
+	// Broken is what went against the rules.
+	Broken []string
+
+	now      core.Time
+	events   events
+	order    int
+	rng      *rand.Rand
+	store    *Store
+	watchers []*watcher
+	nodes    []*node
+	machines []*machine
+	byID     map[wire.MachineID]*machine
+	hires    map[string][]wire.MachineID
+	types    []wire.MachineType
+	jobs     map[wire.JobID]*userJob
+	lists    []snapshot
+	log      *slog.Logger
+}
+
+type snapshot struct {
+	at   core.Time
+	list []wire.ListedMachine
+}
+
+type watcher struct {
+	f    core.Follow
+	n    *node
+	gen  int
+	done bool
+}
+
+type node struct {
+	index   int
+	core    *core.Core
+	gen     int
+	born    core.Time
+	replies map[core.RequestID]func(core.Reply)
+	request core.RequestID
+}
+
+// userJob is a job with what its user was told.
+type userJob struct {
+	spec      wire.JobSpec
+	runtime   time.Duration
+	accepted  bool
+	submitted bool
+	cancelAsk bool
+	told      wire.Status
+	toldAt    core.Time
+	complete  map[int]bool
+}
+
+type event struct {
+	at    core.Time
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, k int) bool {
+	return e[i].at < e[k].at || e[i].at == e[k].at && e[i].order < e[k].order
+}
+func (e events) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// New makes a world of so many controllers, not yet started.
+func New(set config.Settings, types []wire.MachineType, controllers int, seed uint64) *World {
+	w := &World{
+		Settings: set,
+		Lease:    config.Seconds(set.Cluster.Workers.LeaseS), ReportEvery: config.Seconds(set.Cluster.Workers.ReportS),
+		GangWait: config.Seconds(set.Cluster.Workers.GangWaitS), GangPeer: config.Seconds(set.Cluster.Workers.GangPeerS),
+		Cancel:   config.Seconds(set.Cluster.Workers.CancelS),
+		CutState: map[int]bool{}, CutWorkers: map[int]bool{},
+		rng: rand.New(rand.NewPCG(seed, 7)), store: NewStore(),
+		byID: map[wire.MachineID]*machine{}, hires: map[string][]wire.MachineID{}, types: types,
+		jobs: map[wire.JobID]*userJob{}, log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+	w.store.OnChange = w.feed
+	for i := range controllers {
+		w.nodes = append(w.nodes, &node{index: i})
+	}
+	w.every(100*time.Millisecond, func() {
+		if !w.StateDown {
+			w.store.Expire(w.now)
+		}
+		w.check()
+	})
+	w.every(time.Second, func() {
+		w.lists = append(w.lists, snapshot{w.now, w.list()})
+		if len(w.lists) > 15 {
+			w.lists = w.lists[1:]
+		}
+	})
+	return w
+}
+
+// Log sends the cores' log somewhere.
+func (w *World) Log(log *slog.Logger) { w.log = log }
+
+// Now is the time on the world's clock.
+func (w *World) Now() time.Duration { return time.Duration(w.now) }
+
+func (w *World) after(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.events, event{w.now.Add(max(d, 0)), w.order, run})
+}
+
+// At runs f after d.
+func (w *World) At(d time.Duration, f func()) { w.after(d, f) }
+
+func (w *World) every(d time.Duration, f func()) {
+	var loop func()
+	loop = func() {
+		f()
+		w.after(d, loop)
+	}
+	w.after(0, loop)
+}
+
+// Run lets time pass.
+func (w *World) Run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+func (w *World) breaks(format string, args ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%v: ", time.Duration(w.now))+fmt.Sprintf(format, args...))
+}
+
+// latency is how long one message takes.
+func (w *World) latency() time.Duration {
+	d := time.Duration(500+w.rng.IntN(2500)) * time.Microsecond
+	if w.rng.IntN(200) == 0 {
+		d += time.Duration(w.rng.IntN(300)) * time.Millisecond
+	}
+	return d
+}
+
+// Start starts a controller, or ends it and starts it again.
+func (w *World) Start(i int) {
+	n := w.nodes[i]
+	w.Stop(i)
+	set := w.Settings
+	set.Label = fmt.Sprintf("rig-%d", i)
+	set.Siblings = nil
+	for k := range w.nodes {
+		if k != i {
+			set.Siblings = append(set.Siblings, config.Sibling{Label: fmt.Sprintf("rig-%d", k)})
+		}
+	}
+	set.Cluster.Size = len(w.nodes)
+	n.core = core.New(&set, w.log.With("node", set.Label, "gen", n.gen), w.rng.Uint64())
+	n.born = w.now
+	n.replies = map[core.RequestID]func(core.Reply){}
+	gen := n.gen
+	var tick func()
+	tick = func() {
+		if n.gen == gen {
+			w.step(n, core.Tick{})
+			w.after(50*time.Millisecond, tick)
+		}
+	}
+	tick()
+}
+
+// Stop ends a controller.
+func (w *World) Stop(i int) {
+	w.nodes[i].gen++
+	w.nodes[i].core = nil
+}
+
+func (w *World) step(n *node, in core.Input) {
+	wall := 1_700_000_000_000 + time.Duration(w.now).Milliseconds() + int64(n.index)*20
+	for _, o := range n.core.Step(w.now-n.born, wall, in) {
+		w.carryOut(n, o)
+	}
+}
+
+// returned hands a call's result back, if the caller still lives.
+func (w *World) returned(n *node, gen int, d time.Duration, id core.CallID, result any) {
+	w.after(d, func() {
+		if n.gen == gen {
+			w.step(n, core.Returned{Call: id, Result: result})
+		}
+	})
+}
+
+const giveUp = 1500 * time.Millisecond
+
+// remote carries a call out somewhere else, with all that may go wrong:
+// exec runs there; lost is the result if no answer comes.
+func (w *World) remote(n *node, gen int, id core.CallID, lost any, exec func() any) {
+	if w.rng.Float64() < w.Loss {
+		w.returned(n, gen, giveUp, id, lost)
+		switch w.rng.IntN(3) {
+		case 0: // carried out, but the answer is lost
+			w.after(w.latency(), func() { exec() })
+		case 1: // held up, and carried out long after
+			w.after(time.Duration(w.rng.IntN(40_000))*time.Millisecond, func() { exec() })
+		}
+		return
+	}
+	w.after(w.latency(), func() {
+		result := exec()
+		w.returned(n, gen, w.latency(), id, result)
+		if w.rng.Float64() < w.Loss/2 { // a late copy
+			w.after(time.Duration(w.rng.IntN(30_000))*time.Millisecond, func() { exec() })
+		}
+	})
+}
+
+// state carries a call to the state service out; refused is the result while
+// it refuses.
+func (w *World) state(n *node, id core.CallID, refused, lost any, exec func() any) {
+	gen := n.gen
+	w.after(w.SlowState, func() {
+		w.remote(n, gen, id, lost, func() any {
+			if w.StateDown || w.CutState[n.index] {
+				return refused
+			}
+			return exec()
+		})
+	})
+}
+
+func (w *World) carryOut(n *node, o core.Output) {
+	gen := n.gen
+	switch o := o.(type) {
+	case core.Reply:
+		then := n.replies[o.Request]
+		delete(n.replies, o.Request)
+		if then != nil && w.rng.Float64() >= w.Loss {
+			w.after(w.latency(), func() { then(o) })
+		}
+	case core.Load:
+		w.load(n, o)
+	case core.Follow:
+		if o.Block == 0 {
+			w.state(n, o.Call, core.Fed{Outcome: core.NotDone}, core.Fed{Outcome: core.Unknown}, func() any {
+				return core.Fed{Feed: w.store.Feed(o.Under, o.After)}
+			})
+			return
+		}
+		wt := &watcher{f: o, n: n, gen: gen}
+		w.watchers = append(w.watchers, wt)
+		w.after(w.latency(), func() { w.serveWatcher(wt, false) })
+		w.after(o.Block, func() { w.serveWatcher(wt, true) })
+	case core.Fetch:
+		w.state(n, o.Call, core.Fetched{Outcome: core.NotDone}, core.Fetched{Outcome: core.Unknown}, func() any {
+			v, stamp, ok := w.store.Get(o.Key)
+			if !ok {
+				return core.Fetched{Outcome: core.Missing}
+			}
+			return core.Fetched{Value: v, Stamp: stamp}
+		})
+	case core.Commit:
+		w.checkLimits(o.Txn)
+		w.state(n, o.Call, core.Committed{Outcome: core.NotDone}, core.Committed{Outcome: core.Unknown}, func() any {
+			return w.store.Multi(o.Txn)
+		})
+	case core.Grant:
+		w.state(n, o.Call, core.Granted{Outcome: core.NotDone}, core.Granted{Outcome: core.Unknown}, func() any {
+			return core.Granted{Permit: w.store.Grant(w.now, core.Time(o.TTL))}
+		})
+	case core.Extend:
+		w.state(n, o.Call, core.Granted{Outcome: core.NotDone}, core.Granted{Outcome: core.Unknown}, func() any {
+			if !w.store.Extend(w.now, o.Permit) {
+				return core.Granted{Outcome: core.Missing}
+			}
+			return core.Granted{Permit: o.Permit}
+		})
+	case core.Share:
+	case core.ReadCatalogue:
+		w.cloud(n, o.Call, core.CatalogueRead{Outcome: core.NotDone}, func() any {
+			return core.CatalogueRead{Catalogue: wire.Catalogue{Types: w.types}}
+		})
+	case core.ListMachines:
+		w.cloud(n, o.Call, core.Listed{Outcome: core.NotDone}, func() any {
+			return core.Listed{Machines: w.lists[w.rng.IntN(min(len(w.lists), 5))+max(0, len(w.lists)-5)].list}
+		})
+	case core.HireMachines:
+		w.cloud(n, o.Call, core.Hired{Outcome: core.Unknown}, func() any { return w.hire(o.Hire) })
+	case core.ReturnMachines:
+		w.cloud(n, o.Call, core.GivenBack{Outcome: core.Unknown}, func() any {
+			for _, id := range o.Names {
+				if m := w.byID[id]; m != nil {
+					m.vanish()
+					m.up = false
+				}
+			}
+			return core.GivenBack{}
+		})
+	case core.Order:
+		w.direct(n, o.Call, o.Addr, func(m *machine) core.Answered { return m.do(o.Body) })
+	case core.Show:
+		w.direct(n, o.Call, o.Addr, func(m *machine) core.Answered { return core.Answered{Report: m.report()} })
+	case core.Tell:
+		for _, s := range w.nodes {
+			if s != n && s.core != nil && w.rng.Float64() >= w.Loss {
+				line := *o.Line
+				to, togen := s, s.gen
+				w.after(w.latency(), func() {
+					if to.gen == togen {
+						w.step(to, core.PeerSaid{Line: &line})
+					}
+				})
+			}
+		}
+	default:
+		panic(fmt.Sprintf("output %T", o))
+	}
+}
+
+// checkLimits holds a transaction against the limits of the state service.
+func (w *World) checkLimits(t wire.Transaction) {
+	l := w.Settings.Cluster.State
+	if len(t.Then) > l.TxnOps || len(t.If) > 4*l.TxnOps {
+		w.breaks("transaction with %d changes and %d conditions", len(t.Then), len(t.If))
+	}
+	for _, c := range t.Then {
+		if float64(len(c.Value)) > l.ValueKB*1024 {
+			w.breaks("value of %d bytes under %s", len(c.Value), c.Put)
+		}
+	}
+}
+
+func (w *World) load(n *node, o core.Load) {
+	gen := n.gen
+	var r core.Loaded
+	var next func(i int)
+	next = func(i int) {
+		switch {
+		case n.gen != gen:
+		case w.StateDown || w.CutState[n.index] || w.rng.Float64() < w.Loss:
+			w.returned(n, gen, giveUp, o.Call, core.Loaded{Outcome: core.NotDone})
+		case i == len(o.Prefixes):
+			w.returned(n, gen, w.latency(), o.Call, r)
+		default:
+			if i == 0 {
+				r.First = w.store.Ledger()
+			}
+			r.Last = w.store.Ledger()
+			r.Entries = append(r.Entries, w.store.List(o.Prefixes[i])...)
+			w.after(w.latency(), func() { next(i + 1) })
+		}
+	}
+	w.after(w.latency(), func() { next(0) })
+}
+
+// feed serves the open watches after a change.
+func (w *World) feed() {
+	for _, wt := range w.watchers {
+		w.after(w.latency(), func() { w.serveWatcher(wt, false) })
+	}
+}
+
+func (w *World) serveWatcher(wt *watcher, timeout bool) {
+	if wt.done {
+		return
+	}
+	if wt.n.gen != wt.gen {
+		wt.done = true
+	} else if !w.StateDown && !w.CutState[wt.n.index] {
+		f := w.store.Feed(wt.f.Under, wt.f.After)
+		if len(f.Log) == 0 && !timeout {
+			return
+		}
+		wt.done = true
+		w.returned(wt.n, wt.gen, w.latency(), wt.f.Call, core.Fed{Feed: f})
+	} else if timeout {
+		wt.done = true
+		w.returned(wt.n, wt.gen, w.latency(), wt.f.Call, core.Fed{Outcome: core.Unknown})
+	}
+	w.watchers = slices.DeleteFunc(w.watchers, func(x *watcher) bool { return x.done })
+}
+
+func (w *World) cloud(n *node, id core.CallID, refused any, exec func() any) {
+	gen := n.gen
+	w.after(100*time.Millisecond, func() {
+		w.remote(n, gen, id, refused, func() any {
+			if w.CloudDown {
+				return refused
+			}
+			return exec()
+		})
+	})
+}
+
+func (w *World) hire(h wire.Hire) core.Hired {
+	if names, ok := w.hires[h.Name]; ok {
+		return core.Hired{Names: names}
+	}
+	i := slices.IndexFunc(w.types, func(t wire.MachineType) bool { return t.Name == h.Type })
+	inUse := 0
+	for _, m := range w.machines {
+		if !m.dead && m.kind.Name == h.Type && m.zone == h.Zone && m.spot == h.Spot {
+			inUse++
+		}
+	}
+	const capacity = 3 // of each type, zone and kind
+	number := min(h.Number, capacity-inUse)
+	if i < 0 || number <= 0 {
+		return core.Hired{Outcome: core.NotDone, Refused: true}
+	}
+	var names []wire.MachineID
+	for range number {
+		names = append(names, w.AddMachine(w.types[i], h.Zone, h.Spot, time.Duration(1+w.rng.IntN(8))*time.Second).id)
+	}
+	w.hires[h.Name] = names
+	return core.Hired{Names: names}
+}
+
+// AddMachine rents a machine that comes up after boot.
+func (w *World) AddMachine(kind wire.MachineType, zone string, spot bool, boot time.Duration) *machine {
+	m := &machine{w: w, id: wire.MachineID(fmt.Sprintf("m-%06d", len(w.machines))), kind: kind, zone: zone, spot: spot,
+		born: w.now, shift: 1, tasks: map[taskKey]*task{}, node: w.rng.IntN(len(w.nodes))}
+	w.machines = append(w.machines, m)
+	w.byID[m.id] = m
+	w.after(boot, func() {
+		if !m.dead {
+			m.up, m.answered = true, w.now
+			m.reportLoop()
+		}
+	})
+	return m
+}
+
+func (w *World) list() []wire.ListedMachine {
+	var out []wire.ListedMachine
+	for _, m := range w.machines {
+		if m.dead && (!m.up || w.now-m.deadAt > core.Time(30*time.Second)) {
+			continue
+		}
+		l := wire.ListedMachine{ID: m.id, Addr: string(m.id), Type: m.kind.Name, Zone: m.zone, Spot: m.spot,
+			Status: wire.MachineBooting, HeldS: w.now.Sub(m.born).Seconds()}
+		if m.up {
+			l.Status = wire.MachineRunning
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// direct carries out a call to a worker; a hanging one carries it out later.
+func (w *World) direct(n *node, id core.CallID, addr string, exec func(*machine) core.Answered) {
+	gen := n.gen
+	open := true
+	finish := func(d time.Duration, a core.Answered) {
+		if open {
+			open = false
+			w.returned(n, gen, d, id, a)
+		}
+	}
+	w.after(2*time.Second, func() { finish(0, core.Answered{Outcome: core.Unknown}) })
+	m := w.byID[wire.MachineID(addr)]
+	if m == nil || m.dead || w.CutWorkers[n.index] {
+		return
+	}
+	deliver := func() { m.act(func() { finish(w.latency(), exec(m)) }) }
+	d := w.latency()
+	if w.rng.Float64() < w.Loss {
+		d = time.Duration(w.rng.IntN(30_000)) * time.Millisecond
+	}
+	w.after(d, deliver)
+	if w.rng.Float64() < w.Loss/2 {
+		w.after(time.Duration(w.rng.IntN(30_000))*time.Millisecond, deliver)
+	}
+}
+
+// toNode sends a request to a controller.
+func (w *World) toNode(n *node, makeInput func(core.RequestID) core.Input, then func(core.Reply)) {
+	d := w.latency()
+	if w.rng.Float64() < w.Loss {
+		if w.rng.IntN(2) == 0 {
+			return
+		}
+		d = time.Duration(w.rng.IntN(30_000)) * time.Millisecond
+	}
+	w.after(d, func() {
+		if n.core == nil {
+			return
+		}
+		in := makeInput(0)
+		if _, fromWorker := in.(core.Reported); fromWorker && w.CutWorkers[n.index] {
+			return
+		}
+		n.request++
+		n.replies[n.request] = then
+		w.step(n, makeInput(n.request))
+	})
+}
--- /dev/null
+++ b/internal/standin/world_test.go
@@ -0,0 +1,193 @@
+package standin
+
+import (
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// The same worlds every time, unless somebody asks for others.
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		if err := f.Value.Set("20261201"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var zones = []string{"east", "north", "west"}
+
+var types = []wire.MachineType{
+	{Name: "c4", Cores: 4, MemGB: 32, Rate: 0.2, MarketPrice: 0.08, StartupS: 4, Zones: zones},
+	{Name: "g8", Cores: 8, Accelerators: 2, MemGB: 64, Rate: 2, MarketPrice: 0.7, StartupS: 5, Zones: zones},
+}
+
+func settings() config.Settings {
+	return config.Settings{Cluster: config.Cluster{
+		Zones: zones,
+		Teams: []config.Team{
+			{Name: "blue", CPUs: 8, CPUsMax: 20, GPUs: 0, GPUsMax: 2},
+			{Name: "red", CPUs: 8, CPUsMax: 24, GPUs: 2, GPUsMax: 6},
+		},
+		Objectives: []config.Objective{{Kind: "wait", Class: "portal", WithinS: 1, Share: 0.9}},
+		Workers:    config.Workers{ReportS: 2, LeaseS: 15, GangWaitS: 20, GangPeerS: 4, CancelS: 40},
+		State:      config.State{RPS: 200, WriteRPS: 50, ValueKB: 2, TxnOps: 12},
+		Cloud:      config.Cloud{RPS: 5, ListLagS: 3},
+	}}
+}
+
+func newWorld(t interface{ Logf(string, ...any) }, seed uint64, controllers int) *World {
+	w := New(settings(), types, controllers, seed)
+	if os.Getenv("WORLD_LOG") != "" {
+		w.Log(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	}
+	for i := range 4 {
+		w.AddMachine(types[0], zones[i%len(zones)], false, 0)
+	}
+	for i := range controllers {
+		w.Start(i)
+	}
+	return w
+}
+
+// job makes a job of one of the shapes from a number.
+func job(n, kind int) (wire.JobSpec, time.Duration) {
+	s := wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", n)), Class: "batch", Team: []string{"blue", "red"}[n%2],
+		Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 1 + n%7, Cores: 1, MemGB: 2, Image: "img", ImageGB: 1,
+		RuntimeS: 5, Spot: n%3 == 0}
+	run := time.Duration(2+n%9) * time.Second
+	switch kind {
+	case 1:
+		s.Shape, s.Rank, s.Class, s.Tasks = wire.ShapeService, wire.RankCritical, "portal", 1+n%2
+	case 2:
+		s.Shape, s.Rank, s.Together, s.Tasks, s.Cores = wire.ShapeGang, wire.RankHigh, n%2 == 0, 1+n%3, 2
+	case 3:
+		s.Rank, s.SavepointS, s.StashS = wire.RankBestEffort, 3, 1
+	case 4:
+		s.Apart = true
+	case 5:
+		s.Together, s.Cores = true, 3
+	case 6:
+		s.Types, s.Accelerators = []string{"g8"}, 1
+		s.Shape, s.Tasks = wire.ShapeGang, 1+n%2
+	case 7:
+		s.Zone = zones[n%len(zones)]
+	}
+	return s, run
+}
+
+// trouble is one thing that goes wrong for a while.
+type trouble struct {
+	kind string
+	at   time.Duration
+	last time.Duration
+	who  int
+}
+
+var troubleKinds = []string{"crash", "crash all", "flicker", "state down", "state cut", "worker cut", "cloud down",
+	"hang", "die", "notice", "slow state", "faulty"}
+
+func (tr trouble) happen(w *World) {
+	n := tr.who % len(w.nodes)
+	machine := func() *machine {
+		for i := range w.machines {
+			if m := w.machines[(i+tr.who)%len(w.machines)]; m.up && !m.dead && !m.hung {
+				return m
+			}
+		}
+		return nil
+	}
+	switch tr.kind {
+	case "crash":
+		w.Stop(n)
+		w.At(3*time.Second, func() { w.Start(n) })
+	case "crash all":
+		for i := range w.nodes {
+			w.Stop(i)
+			w.At(3*time.Second+time.Duration(i)*200*time.Millisecond, func() { w.Start(i) })
+		}
+	case "flicker":
+		w.Start(n)
+		w.At(300*time.Millisecond, func() { w.Start(n) })
+	case "state down":
+		w.StateDown = true
+		w.At(tr.last, func() { w.StateDown = false; w.store.RenewAll(w.now) })
+	case "state cut":
+		w.CutState[n] = true
+		w.At(tr.last, func() { delete(w.CutState, n) })
+	case "worker cut":
+		w.CutWorkers[n] = true
+		w.At(tr.last, func() { delete(w.CutWorkers, n) })
+	case "cloud down":
+		w.CloudDown = true
+		w.At(tr.last, func() { w.CloudDown = false })
+	case "slow state":
+		w.SlowState = 500 * time.Millisecond
+		w.At(tr.last, func() { w.SlowState = 0 })
+	case "hang":
+		if m := machine(); m != nil {
+			m.hung = true
+			w.At(tr.last, m.resume)
+		}
+	case "die":
+		if m := machine(); m != nil {
+			m.vanish()
+		}
+	case "notice":
+		if m := machine(); m != nil {
+			m.recall = w.now + 8_000_000_000
+			w.At(8*time.Second, m.vanish)
+		}
+	case "faulty":
+		if m := machine(); m != nil {
+			m.faulty = true
+		}
+	}
+}
+
+// play runs one generated day and then a quiet time in which all must end.
+func play(t *rapid.T) *World {
+	w := newWorld(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 3).Draw(t, "controllers"))
+	w.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.08}).Draw(t, "loss")
+	for n := range rapid.IntRange(4, 24).Draw(t, "jobs") {
+		spec, run := job(n, rapid.IntRange(0, 7).Draw(t, "kind"))
+		at := time.Duration(rapid.IntRange(0, 60).Draw(t, "at")) * time.Second
+		w.At(at, func() { w.Submit(spec, run) })
+		if spec.Shape == wire.ShapeService || rapid.IntRange(0, 5).Draw(t, "cancelled") == 0 {
+			w.At(at+time.Duration(rapid.IntRange(0, 90).Draw(t, "cancel"))*time.Second, func() { w.CancelJob(spec.ID) })
+		}
+	}
+	for range rapid.IntRange(0, 8).Draw(t, "troubles") {
+		tr := trouble{rapid.SampledFrom(troubleKinds).Draw(t, "trouble"),
+			time.Duration(rapid.IntRange(5, 90).Draw(t, "when")) * time.Second,
+			time.Duration(rapid.IntRange(2, 25).Draw(t, "last")) * time.Second, rapid.IntRange(0, 9).Draw(t, "who")}
+		w.At(tr.at, func() { tr.happen(w) })
+	}
+	w.At(30*time.Second, func() { w.AskUnknown("wk-999999") })
+	w.Run(130 * time.Second)
+	w.Loss = 0
+	w.Run(300 * time.Second)
+	return w
+}
+
+// TestRulesHold drives several cores through generated days of losses, delays,
+// duplicates, outages and restarts, and holds what happens against the
+// protocol's rules.
+func TestRulesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := play(t)
+		require.Empty(t, w.Broken)
+		require.Empty(t, w.Unfinished(), "jobs that never ended")
+	})
+}
