A cleared attempt waits for its fence from the first sight on

Cause: on first sight of an ended attempt the noted revision was read as 0, so the clear went out at once; a late copy of its launch then ran the task beside its next attempt.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -314,7 +314,8 @@
 		}
 		without, ok := m.uncleared[key]
 		if !ok {
-			m.uncleared[key] = notYet
+			without = notYet
+			m.uncleared[key] = without
 			fresh = append(fresh, key)
 		}
 		if c.batonStamp > without && m.newest.Baton >= c.baton && len(orders) < maxOrders {
