Done records demand their own version; jobs whose tasks were noted apart end too

Cause: two controllers noting ended tasks from different zones wrote the same done record without a condition on it, so one undid the other and the job never ended. Found by the stand-in world (jobs that never ended).

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -186,6 +186,7 @@
 		rounds[name] = r
 		c.takeProofs(r)
 	}
+	c.endJobs(rounds)
 	c.mendGangs(rounds)
 	c.drain(rounds)
 	c.place(rounds)
@@ -395,6 +396,23 @@
 	}
 }
 
+// endJobs ends jobs whose last tasks were noted by several controllers at once,
+// none of which saw them all.
+func (c *Core) endJobs(rounds map[string]*round) {
+	for _, id := range sortedKeys(c.jobs) {
+		j := c.jobs[id]
+		r := rounds[j.spec.Team]
+		if r == nil || j.done.Len() < j.spec.Tasks || !c.mine(j.spec.Team) || !c.fits(r, 3) {
+			continue
+		}
+		if _, ending := r.done[id]; !ending {
+			r.done[id] = TaskSet{}
+			r.ops += 2
+			r.conds[jobKey(id)] = j.stamp
+		}
+	}
+}
+
 // mendGangs stops what is left of a gang that lost a task, so that it can start
 // again as a whole.
 func (c *Core) mendGangs(rounds map[string]*round) {
@@ -480,6 +498,9 @@
 				continue
 			}
 			set := j.done.With(done).And(Span(n*size, (n+1)*size))
+			// Without its own condition, two controllers that note tasks from
+			// different zones would each undo what the other noted.
+			r.conds[doneKey(id, n)] = c.ver[doneKey(id, n)]
 			txn.Then = append(txn.Then, put(doneKey(id, n), set))
 		}
 	}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -135,3 +135,12 @@
 	}
 	return out
 }
+
+// Records lists what the state service holds, for a failing test to show.
+func (w *World) Records() []string {
+	var out []string
+	for _, e := range w.store.List("l/") {
+		out = append(out, e.Key+" "+string(e.Value)+"\n")
+	}
+	return out
+}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -188,6 +188,6 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := play(t)
 		require.Empty(t, w.Broken)
-		require.Empty(t, w.Unfinished(), "jobs that never ended")
+		require.Empty(t, w.Unfinished(), "jobs that never ended: %v", w.Records())
 	})
 }
