Urgent work goes where its image is; guarantees stop work beyond others' guarantees

Cause: starts of demand-model and booking-desk waited for image fetches (25 s and more for 5 GB) while machines with the image were taken by batch work; after crashes of all controllers nobody knew which machine has which image.

--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -100,6 +102,7 @@
 	}
 	c.spoil()
 	c.giveBack()
+	c.noteImages()
 	if c.after(c.nextBuy) {
 		c.nextBuy = c.now.Add(buyEvery)
 		c.buy()
@@ -218,27 +221,41 @@
 		spec  *wire.JobSpec
 		tasks int
 	}
-	classes := map[string]*seen{}
+	// By class and image: room on a machine that must fetch the image first
+	// would not do.
+	type key struct{ class, image string }
+	classes := map[key]*seen{}
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
-		s := classes[j.spec.Class]
+		k := key{j.spec.Class, j.spec.Image}
+		s := classes[k]
 		if s == nil {
 			s = &seen{}
-			classes[j.spec.Class] = s
+			classes[k] = s
 		}
 		s.spec = &j.spec
 		s.tasks += j.spec.Tasks - j.done.Len()
 	}
-	var out []capacity.Demand
+	promised := map[string]bool{}
 	for _, o := range c.set.Cluster.Objectives {
-		s := classes[o.Class]
-		if o.Kind != "wait" || s == nil || s.spec.Shape == wire.ShapeArray {
+		if o.Kind == "wait" {
+			promised[o.Class] = true
+		}
+	}
+	keys := slices.SortedFunc(maps.Keys(classes), func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.image, b.image))
+	})
+	var out []capacity.Demand
+	for _, k := range keys {
+		s := classes[k]
+		// Work that is not critical has its room made by stopping others.
+		if !promised[k.class] || s.spec.Rank != wire.RankCritical {
 			continue
 		}
-		delete(classes, o.Class)
 		spec := *s.spec
 		spec.ID, spec.Zone, spec.Apart, spec.Together, spec.Shape = "", "", false, false, wire.ShapeArray
-		out = append(out, capacity.Demand{Request: placement.NewRequest(&spec), Count: c.chosen.SpareLeast + int(math.Ceil(c.chosen.SpareShare*float64(s.tasks)))})
+		out = append(out, capacity.Demand{Request: placement.NewRequest(&spec),
+			Count: c.chosen.SpareLeast + int(math.Ceil(c.chosen.SpareShare*float64(s.tasks)))})
 	}
 	return out
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"lilacrill/internal/placement"
@@ -10,8 +12,11 @@
 
 // fleet is what this controller knows of the machines.
 type fleet struct {
-	machines map[wire.MachineID]*machine
-	timeouts []timeout
+	machines    map[wire.MachineID]*machine
+	imagesNoted map[wire.MachineID][]string // as the state service has them
+	noting      bool
+	nextNote    Time
+	timeouts    []timeout
 }
 
 type timeout struct {
@@ -19,7 +24,10 @@
 	then func()
 }
 
-func (f *fleet) init() { f.machines = map[wire.MachineID]*machine{} }
+func (f *fleet) init() {
+	f.machines = map[wire.MachineID]*machine{}
+	f.imagesNoted = map[wire.MachineID][]string{}
+}
 
 // machine is one machine as reported by its worker and listed by the cloud.
 type machine struct {
@@ -83,6 +91,7 @@
 			strays:    map[attemptKey]Time{},
 		}
 		c.machines[id] = m
+		c.recallImages(m)
 	}
 	return m
 }
@@ -133,7 +142,7 @@
 	c.dirty = true
 	for id, t := range m.tasks {
 		if j := c.jobs[id.task.Job]; j != nil && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
-			m.images[j.spec.Image] = c.now
+			c.sawImage(m, j.spec.Image)
 			if !j.started {
 				j.started = true
 				c.took(timeStart, time.Duration(max(0, c.wall-j.at))*time.Millisecond)
@@ -176,6 +185,79 @@
 	}
 }
 
+// sawImage notes that a machine has an image; of very many the one that was
+// seen longest ago is forgotten.
+func (c *Core) sawImage(m *machine, image string) {
+	if _, known := m.images[image]; !known && len(m.images) >= maxImages {
+		oldest := image
+		for _, name := range sortedKeys(m.images) {
+			if oldest == image || m.images[name] < m.images[oldest] {
+				oldest = name
+			}
+		}
+		delete(m.images, oldest)
+	}
+	m.images[image] = c.now
+}
+
+// applyImages takes over what was noted of a machine's images, so that a
+// controller that has just started knows them too.
+func (c *Core) applyImages(id wire.MachineID, value json.RawMessage) error {
+	delete(c.imagesNoted, id)
+	if value == nil {
+		return nil
+	}
+	var images []string
+	if err := json.Unmarshal(value, &images); err != nil {
+		return err
+	}
+	c.imagesNoted[id] = images
+	if m := c.machines[id]; m != nil {
+		c.recallImages(m)
+	}
+	return nil
+}
+
+func (c *Core) recallImages(m *machine) {
+	for _, image := range c.imagesNoted[m.id] {
+		if _, ok := m.images[image]; !ok && len(m.images) < maxImages {
+			m.images[image] = 0
+		}
+	}
+}
+
+// noteImages writes down which images machines have, some at a time, and drops
+// the notes on machines that are gone. It is the buyer's task, since it knows
+// all machines.
+func (c *Core) noteImages() {
+	if c.noting || !c.after(c.nextNote) {
+		return
+	}
+	c.nextNote = c.now.Add(noteEvery)
+	var txn wire.Transaction
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		images := sortedKeys(m.images)
+		if m.newest == nil || m.gone || slices.Equal(images, c.imagesNoted[id]) {
+			continue
+		}
+		txn.Then = append(txn.Then, put(imagePrefix+string(id), images))
+		if len(txn.Then) == notesAtOnce {
+			break
+		}
+	}
+	for _, id := range sortedKeys(c.imagesNoted) {
+		if m := c.machines[id]; (m == nil || m.gone) && len(txn.Then) < notesAtOnce && c.now.Sub(c.readyAt) > forgetAfter {
+			txn.Then = append(txn.Then, wire.Change{Drop: imagePrefix + string(id)})
+		}
+	}
+	if len(txn.Then) == 0 {
+		return
+	}
+	c.noting = true
+	c.commit(ClassRest, txn, func(Committed) { c.noting = false })
+}
+
 // judge calls a machine bad when jobs fail on it that do not fail elsewhere.
 func (c *Core) judge(m *machine) {
 	n := 0
@@ -376,6 +458,9 @@
 	forgetAfter = 2 * time.Minute
 	sweepClears = 45 * time.Second
 	manyClears  = 40
+	noteEvery   = time.Second
+	notesAtOnce = 4
+	maxImages   = 40 // remembered of one machine
 )
 
 // push sends a machine what it has to be told, directly, and reports whether
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -24,6 +24,7 @@
 	// that are being written for planning.
 	onMachine map[wire.MachineID][]*Entry
 	ofJob     map[wire.JobID][]*Entry
+	within    map[wire.JobID]bool // the jobs within their teams' guarantees
 }
 
 // plannerTeam is what the planner keeps of a team.
@@ -650,7 +651,7 @@
 
 // hosts builds the fleet as placement sees it: what is on the machines by the
 // records, with the rounds that are being written.
-func (c *Core) hosts(rounds map[string]*round) (placement.Fleet, map[wire.MachineID]*placement.Host) {
+func (c *Core) hosts(rounds map[string]*round) placement.Fleet {
 	var fleet placement.Fleet
 	byID := map[wire.MachineID]*placement.Host{}
 	for _, id := range sortedKeys(c.machines) {
@@ -701,7 +702,7 @@
 			}
 		}
 	}
-	return fleet, byID
+	return fleet
 }
 
 // planPages are the team's pages as a round leaves them.
@@ -751,7 +752,7 @@
 	if len(c.catalogue) == 0 {
 		return
 	}
-	fleet, byID := c.hosts(rounds)
+	fleet := c.hosts(rounds)
 	used := map[string]placement.Amount{}
 	placed := map[wire.JobID]TaskSet{}
 	zones := map[wire.JobID]string{}
@@ -777,7 +778,7 @@
 			reserved = true
 			c.reserve(fleet)
 		}
-		c.placeJob(rounds, fleet, byID, used, w)
+		c.placeJob(rounds, fleet, used, w)
 	}
 	if !reserved {
 		c.reserve(fleet)
@@ -786,7 +787,7 @@
 
 // queue is all that waits, most urgent first.
 func (c *Core) queue(rounds map[string]*round, placed map[wire.JobID]TaskSet, zones map[wire.JobID]string) []waiting {
-	promised := c.promised()
+	c.within = c.promised()
 	var queue []waiting
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
@@ -799,7 +800,7 @@
 		if missing.Empty() || j.spec.Shape == wire.ShapeGang && missing.Len() < j.spec.Tasks {
 			continue
 		}
-		w := waiting{job: j, missing: missing, promised: promised[id]}
+		w := waiting{job: j, missing: missing, promised: c.within[id]}
 		if j.spec.Together {
 			w.zone = zones[id]
 		}
@@ -812,7 +813,7 @@
 				return d
 			}
 		}
-		return cmp.Or(cmp.Compare(ra, rb), -cmp.Compare(btoi(a.promised), btoi(b.promised)),
+		return cmp.Or(-cmp.Compare(btoi(a.promised), btoi(b.promised)), cmp.Compare(ra, rb),
 			cmp.Compare(a.job.due(), b.job.due()), cmp.Compare(a.job.at, b.job.at), cmp.Compare(a.job.id, b.job.id))
 	})
 	return queue
@@ -859,7 +860,7 @@
 	return out
 }
 
-func (c *Core) placeJob(rounds map[string]*round, fleet placement.Fleet, byID map[wire.MachineID]*placement.Host, used map[string]placement.Amount, w waiting) {
+func (c *Core) placeJob(rounds map[string]*round, fleet placement.Fleet, used map[string]placement.Amount, w waiting) {
 	j := w.job
 	team := j.spec.Team
 	set := c.teamSettings(team)
@@ -878,8 +879,7 @@
 		j.why = "the team is at its limit"
 		return
 	}
-	since, fresh := c.fresh[j.id]
-	fresh = fresh && c.now.Sub(since) < freshTime
+	fresh := c.isFresh(j.id)
 	r := rounds[team]
 	t := c.teamOf(team)
 	act := r != nil && t.writing == nil && c.after(t.placeFrom) && (fresh || c.mine(team)) && c.fits(r, 5)
@@ -891,13 +891,12 @@
 		o.Probes, o.Skip, o.Relax = c.chosen.ProbeHosts, t.locked, false
 	}
 	j.why = "being placed"
-	choices := fleet.Choose(j.req, count, w.zone, o)
+	choices := c.choose(rounds, fleet, &w, &count, o)
 	missing := w.missing
 	attempt := wire.Attempt(0)
 	for _, ch := range choices {
 		var tasks TaskSet
 		tasks, missing = missing.Take(ch.Count)
-		count -= ch.Count
 		used[team] = used[team].Plus(j.req.Need, float64(ch.Count))
 		if !act {
 			continue
@@ -929,52 +928,114 @@
 		}
 	}
 	if count > 0 {
-		c.wanting(rounds, fleet, byID, w, count)
+		c.wanting(rounds, fleet, &w, count)
 	}
 }
 
-// unadd takes an attempt's new entries out of the round again.
-func (c *Core) unadd(r *round, attempt wire.Attempt) {
-	for _, d := range r.pages {
-		d.entries = slices.DeleteFunc(d.entries, func(e Entry) bool { return e.Attempt == attempt })
+// choose finds machines for a job's tasks and takes what it dealt with off
+// count. Urgent work goes where its image is already, since fetching one takes
+// longer than stopping something less urgent that stands in the way.
+func (c *Core) choose(rounds map[string]*round, fleet placement.Fleet, w *waiting, count *int, o placement.Options) []placement.Choice {
+	j := w.job
+	usable := o.Usable
+	hasImage := func(h *placement.Host) bool { return usable(h) && h.Images[j.spec.Image] }
+	warm := o
+	warm.Usable = hasImage
+	warm.Relax = false
+	choices := fleet.Choose(j.req, *count, w.zone, warm)
+	take := func() {
+		for _, ch := range choices {
+			*count -= ch.Count
+			if j.spec.Together {
+				w.zone = ch.Zone
+			}
+		}
+	}
+	take()
+	if *count == 0 {
+		return choices
 	}
+	if j.spec.Rank.Order() <= wire.RankHigh.Order() && c.coldSlow(j) {
+		*count = c.awaitRoom(rounds, fleet, w, *count, hasImage)
+	}
+	first := choices
+	choices = fleet.Choose(j.req, *count, w.zone, o)
+	take()
+	return append(first, choices...)
 }
 
-// wanting deals with tasks that found no room: they wait for room that is being
-// freed, or have less urgent work stopped, or else stand in the backlog that
-// the buyer sees.
-func (c *Core) wanting(rounds map[string]*round, fleet placement.Fleet, byID map[wire.MachineID]*placement.Host, w waiting, count int) {
+// slowFetch is how long an image may take to fetch before it is worth stopping
+// other work to do without.
+const slowFetch = 0.5
+
+// coldSlow reports whether a start without the image would be noticed.
+func (c *Core) coldSlow(j *job) bool {
+	best := 0.0
+	for i := range c.catalogue {
+		if t := &c.catalogue[i]; amountOf(t).Covers(j.req.Need) {
+			best = max(best, t.PullGBPerS)
+		}
+	}
+	return best == 0 || j.spec.ImageGB/best > slowFetch
+}
+
+// awaitRoom has tasks wait for room that is being freed on some machines, or
+// has less urgent work there stopped, and returns how many still have none.
+func (c *Core) awaitRoom(rounds map[string]*round, fleet placement.Fleet, w *waiting, count int, usable func(*placement.Host) bool) int {
 	j := w.job
 	rules := j.req.Enforced
 	if w.zone != "" {
 		rules = append(slices.Clip(rules), placement.InZone(w.zone))
 	}
+	// Together and gangs: one zone, or all or none, cannot be had one by one.
+	if (j.spec.Together && w.zone == "" || j.spec.Shape == wire.ShapeGang) && j.spec.Tasks > 1 {
+		return count
+	}
 	for _, h := range fleet {
 		if count == 0 {
-			return
+			return 0
 		}
-		if !c.usable(c.machines[h.ID]) || !fleet.Holds(rules, j.spec.Team, h) {
+		if !usable(h) || !fleet.Holds(rules, j.spec.Team, h) {
 			continue
 		}
-		n := min(h.Free.Plus(h.Freeing, 1).Times(j.req.Need, count))
+		n := h.Free.Plus(h.Freeing, 1).Times(j.req.Need, count)
 		if n > 0 {
 			h.Free = h.Free.Plus(j.req.Need, -float64(n))
 			count -= n
 		}
 	}
-	if j.spec.Rank != wire.RankBestEffort && c.mine(j.spec.Team) {
-		count = c.preempt(rounds, fleet, rules, j, count)
+	if c.mine(j.spec.Team) || c.isFresh(j.id) {
+		count = c.preempt(rounds, fleet, rules, w, count, usable)
 	}
+	return count
+}
+
+func (c *Core) isFresh(id wire.JobID) bool {
+	since, ok := c.fresh[id]
+	return ok && c.now.Sub(since) < freshTime
+}
+
+// unadd takes an attempt's new entries out of the round again.
+func (c *Core) unadd(r *round, attempt wire.Attempt) {
+	for _, d := range r.pages {
+		d.entries = slices.DeleteFunc(d.entries, func(e Entry) bool { return e.Attempt == attempt })
+	}
+}
+
+// wanting deals with tasks that found no room: they wait for room that is being
+// freed, or have less urgent work stopped, or else stand in the backlog that
+// the buyer sees.
+func (c *Core) wanting(rounds map[string]*round, fleet placement.Fleet, w *waiting, count int) {
+	count = c.awaitRoom(rounds, fleet, w, count, func(h *placement.Host) bool { return c.usable(c.machines[h.ID]) })
 	if count > 0 {
-		j.why = "no machine that fits has room"
-		c.backlog = append(c.backlog, demand{job: j, count: count, promised: w.promised})
+		w.job.why = "no machine that fits has room"
+		c.backlog = append(c.backlog, demand{job: w.job, count: count, promised: w.promised})
 	}
 }
 
-// preempt stops tasks of lower rank to make room and returns how many tasks
-// still have none.
-func (c *Core) preempt(rounds map[string]*round, fleet placement.Fleet, rules []placement.Node, j *job, count int) int {
-	rank := j.spec.Rank.Order()
+// preempt stops tasks to make room and returns how many tasks still have none.
+func (c *Core) preempt(rounds map[string]*round, fleet placement.Fleet, rules []placement.Node, w *waiting, count int, usable func(*placement.Host) bool) int {
+	j := w.job
 	need := j.req.Need
 	type option struct {
 		host *placement.Host
@@ -982,12 +1043,12 @@
 	}
 	var options []option
 	for _, h := range fleet {
-		if !c.usable(c.machines[h.ID]) || !h.Total.Covers(need) || !fleet.Holds(rules, j.spec.Team, h) {
+		if !usable(h) || !h.Total.Covers(need) || !fleet.Holds(rules, j.spec.Team, h) {
 			continue
 		}
 		room := h.Free.Plus(h.Freeing, 1)
 		for _, e := range c.onMachine[h.ID] {
-			if c.preemptable(rounds, e, rank) {
+			if c.preemptable(rounds, e, w) {
 				room = room.Plus(e.need(), float64(e.Tasks.Len()))
 			}
 		}
@@ -999,7 +1060,7 @@
 		return cmp.Or(-cmp.Compare(a.cost, b.cost), cmp.Compare(a.host.ID, b.host.ID))
 	})
 	for _, o := range options {
-		for count > 0 && c.makeRoom(rounds, o.host, need, rank) {
+		for count > 0 && c.makeRoom(rounds, o.host, w) {
 			o.host.Free = o.host.Free.Plus(need, -1)
 			count--
 			c.count(countPreempted, 1)
@@ -1009,9 +1070,17 @@
 	return count
 }
 
-func (c *Core) preemptable(rounds map[string]*round, e *Entry, rank int) bool {
+// preemptable reports whether a job may have an entry stopped: one of lower
+// rank, or, to get its team's guarantee, one that another team runs beyond its
+// own. Urgent work is never stopped for a guarantee.
+func (c *Core) preemptable(rounds map[string]*round, e *Entry, w *waiting) bool {
 	j := c.jobs[e.Job]
-	if j == nil || e.Halt != HaltNo || e.Rank <= rank {
+	if j == nil || e.Halt != HaltNo {
+		return false
+	}
+	lower := e.Rank > w.job.spec.Rank.Order()
+	beyond := w.promised && !c.within[e.Job] && j.spec.Team != w.job.spec.Team && e.Rank >= wire.RankNormal.Order()
+	if !lower && !beyond {
 		return false
 	}
 	r := rounds[j.spec.Team]
@@ -1020,14 +1089,19 @@
 
 // makeRoom halts the least urgent tasks of a machine until there is room, or
 // none if there would not be.
-func (c *Core) makeRoom(rounds map[string]*round, h *placement.Host, need placement.Amount, rank int) bool {
+func (c *Core) makeRoom(rounds map[string]*round, h *placement.Host, w *waiting) bool {
+	need := w.job.req.Need
+	how := HaltSave
+	if w.job.spec.Rank == wire.RankCritical {
+		how = HaltAtOnce // it cannot wait for others to save
+	}
 	room := h.Free.Plus(h.Freeing, 1)
 	if room.Covers(need) {
 		return true
 	}
 	var victims []*Entry
 	for _, e := range c.onMachine[h.ID] {
-		if c.preemptable(rounds, e, rank) {
+		if c.preemptable(rounds, e, w) {
 			victims = append(victims, e)
 		}
 	}
@@ -1059,12 +1133,12 @@
 	for _, s := range stops {
 		r := rounds[c.jobs[s.e.Job].spec.Team]
 		if s.e.Shape == wire.ShapeGang {
-			c.haltJob(r, s.e.Job, HaltSave)
+			c.haltJob(r, s.e.Job, how)
 		} else {
 			for _, l := range c.entriesOf(r, s.e.Job) {
 				if l.entry.Machine == s.e.Machine && l.entry.Attempt == s.e.Attempt && l.entry.Halt == HaltNo {
 					x := *l.entry
-					c.halt(r, l.page, &x, s.tasks, HaltSave)
+					c.halt(r, l.page, &x, s.tasks, how)
 				}
 			}
 		}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -22,11 +22,12 @@
 	donePrefix  = "l/d/" // + job/page: the tasks that are done
 	pagePrefix  = "l/p/" // + team/zone/page: placement records
 	doomPrefix  = "l/m/" // + machine: machines about to be returned
+	imagePrefix = "l/i/" // + machine: the images that it was seen to have
 )
 
 // loadPrefixes are read when a controller starts. Final states are not: they
 // are kept for ever, and read when somebody asks.
-var loadPrefixes = []string{"l/b", "l/d/", "l/j/", "l/m/", "l/n/", "l/p/", "l/s"}
+var loadPrefixes = []string{"l/b", "l/d/", "l/i/", "l/j/", "l/m/", "l/n/", "l/p/", "l/s"}
 
 func jobKey(id wire.JobID) string         { return jobPrefix + string(id) }
 func finalKey(id wire.JobID) string       { return finalPrefix + string(id) }
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -147,6 +147,8 @@
 		err = c.applyDone(key, value, stamp)
 	case strings.HasPrefix(key, pagePrefix):
 		err = c.applyPage(key, value, stamp)
+	case strings.HasPrefix(key, imagePrefix):
+		err = c.applyImages(wire.MachineID(strings.TrimPrefix(key, imagePrefix)), value)
 	case strings.HasPrefix(key, doomPrefix):
 		m := wire.MachineID(strings.TrimPrefix(key, doomPrefix))
 		if value == nil {
