One writer per team: stewards confirm hints themselves, new jobs are left to their acceptor first

Now the steward asks the machine itself when a passed-on report hints at a proof; others step in after 1 s.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,7 +33,6 @@
 	operator
 	metrics
 	peers map[string]*peerView
-	fresh map[wire.JobID]Time // jobs accepted here: this controller places them at once
 
 	nextBeat Time
 }
@@ -46,7 +45,6 @@
 		rand:  rand.New(rand.NewPCG(seed, 0x6c696c61)),
 		calls: map[CallID]func(any){},
 		peers: map[string]*peerView{},
-		fresh: map[wire.JobID]Time{},
 	}
 	c.store.init()
 	c.fleet.init()
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -152,6 +152,44 @@
 			c.noteExit(m, t)
 		}
 	}
+	if !direct && c.ready {
+		c.confirm(m)
+	}
+}
+
+// confirm asks a machine itself when a passed-on report hints at something that
+// this controller, as a steward, should write down: hints prove nothing.
+func (c *Core) confirm(m *machine) {
+	if m.showing || m.direct == m.newest {
+		return
+	}
+	c.reindex()
+	for _, e := range c.onMachine[m.id] {
+		if !c.mine(e.team) {
+			continue
+		}
+		for i := range e.Tasks.All {
+			t := m.tasks[e.key(i)]
+			if t == nil && (e.Halt != HaltNo || c.jobs[e.Job] == nil || !c.live(e.Launcher) || m.newest.Shift > e.Shift) ||
+				t != nil && t.State == wire.TaskExited {
+				c.show(m)
+				return
+			}
+		}
+	}
+}
+
+// show asks a worker for its report.
+func (c *Core) show(m *machine) {
+	m.showing = true
+	m.showAt = c.now.Add(showRetry)
+	c.do(Show{call(c, func(a Answered) {
+		m.showing = false
+		if a.Report == nil {
+			m.shows++
+		}
+		c.answered(m, a)
+	}), m.addr})
 }
 
 const (
@@ -558,15 +596,7 @@
 		}
 		// Ask a silent worker itself: it may have lost its way to us.
 		if c.now.Sub(c.lastSign(m)) > silentAsk && m.addr != "" && m.status != wire.MachineBooting && !m.showing && c.after(m.showAt) {
-			m.showing = true
-			m.showAt = c.now.Add(showRetry)
-			c.do(Show{call(c, func(a Answered) {
-				m.showing = false
-				if a.Report == nil {
-					m.shows++
-				}
-				c.answered(m, a)
-			}), m.addr})
+			c.show(m)
 		}
 	}
 	if uncleared > manyClears || oldest && c.now.Sub(c.lastBump) > sweepClears {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -24,6 +24,7 @@
 	// that are being written for planning.
 	onMachine map[wire.MachineID][]*Entry
 	ofJob     map[wire.JobID][]*Entry
+	stewards  map[string]string   // team to controller, as far as asked since the living changed
 	within    map[wire.JobID]bool // the jobs within their teams' guarantees
 }
 
@@ -31,6 +32,7 @@
 type plannerTeam struct {
 	writing   *round
 	notBefore Time                    // no round before
+	proofFrom Time                    // when proofs may be written here though another is the steward
 	placeFrom Time                    // no placements before: after lost writes
 	tries     int                     // lost writes in a row
 	firstTry  Time                    // when the first of them was sent
@@ -40,12 +42,18 @@
 func (p *planner) init() {
 	p.onMachine = map[wire.MachineID][]*Entry{}
 	p.ofJob = map[wire.JobID][]*Entry{}
+	p.stewards = map[string]string{}
 }
 
 const (
-	planEvery   = 10 * time.Millisecond
-	idlePlan    = 500 * time.Millisecond
-	freshTime   = 3 * time.Second
+	planEvery = 10 * time.Millisecond
+	idlePlan  = 500 * time.Millisecond
+	// firstTime is how long the placement of a new job is left to the controller
+	// that accepted it.
+	firstTime = 500 * time.Millisecond
+	// proofTime is how long the writing down of proofs is left to the steward:
+	// one writer per team spares lost writes.
+	proofTime   = time.Second
 	notDoneWait = 200 * time.Millisecond
 	reportSlack = 2 * time.Second
 	maxPerHost  = 300
@@ -69,6 +77,7 @@
 				e := &p.entries[i]
 				c.onMachine[e.Machine] = append(c.onMachine[e.Machine], e)
 				c.ofJob[e.Job] = append(c.ofJob[e.Job], e)
+				e.team = name
 			}
 		}
 	}
@@ -80,6 +89,9 @@
 func (c *Core) mine(team string) bool { return c.steward(team) == c.set.Label }
 
 func (c *Core) steward(team string) string {
+	if s, ok := c.stewards[team]; ok {
+		return s
+	}
 	best, bestScore := "", uint64(0)
 	score := func(label string) {
 		h := fnv.New64a()
@@ -99,6 +111,7 @@
 			score(label)
 		}
 	}
+	c.stewards[team] = best
 	return best
 }
 
@@ -178,8 +191,17 @@
 			continue
 		}
 		r := c.newRound(t)
-		rounds[name] = r
 		c.takeProofs(r)
+		switch {
+		case r.empty() || c.mine(name):
+			t.proofFrom = 0
+		case t.proofFrom == 0:
+			t.proofFrom = c.now.Add(proofTime)
+			fallthrough
+		case !c.after(t.proofFrom):
+			r = c.newRound(t)
+		}
+		rounds[name] = r
 	}
 	c.endJobs(rounds)
 	c.mendGangs(rounds)
@@ -879,10 +901,9 @@
 		j.why = "the team is at its limit"
 		return
 	}
-	fresh := c.isFresh(j.id)
 	r := rounds[team]
 	t := c.teamOf(team)
-	act := r != nil && t.writing == nil && c.after(t.placeFrom) && (fresh || c.mine(team)) && c.fits(r, 5)
+	act := r != nil && t.writing == nil && c.after(t.placeFrom) && c.places(j) && c.fits(r, 5)
 	o := placement.Options{Relax: c.chosen.Affinity == config.AffinityPreferred, Whole: whole, Rand: c.rand, Usable: func(h *placement.Host) bool {
 		until, avoid := j.avoid[h.ID]
 		return c.usable(c.machines[h.ID]) && (!avoid || c.after(until))
@@ -1004,15 +1025,20 @@
 			count -= n
 		}
 	}
-	if c.mine(j.spec.Team) || c.isFresh(j.id) {
+	if c.places(j) {
 		count = c.preempt(rounds, fleet, rules, w, count, usable)
 	}
 	return count
 }
 
-func (c *Core) isFresh(id wire.JobID) bool {
-	since, ok := c.fresh[id]
-	return ok && c.now.Sub(since) < freshTime
+// places reports whether this controller answers for a job's placement: a new
+// job's first placement is up to the one that accepted it, everything else to
+// its team's steward.
+func (c *Core) places(j *job) bool {
+	if c.now.Sub(j.seen) < firstTime && c.live(j.by) {
+		return j.by == c.boot
+	}
+	return c.mine(j.spec.Team)
 }
 
 // unadd takes an attempt's new entries out of the round again.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -48,6 +48,8 @@
 	Spec wire.JobSpec `json:"spec"`
 	// At is when the job was accepted, in Unix milliseconds.
 	At int64 `json:"at"`
+	// By is the boot of the controller that accepted it and places it first.
+	By wire.Baton `json:"by"`
 }
 
 // finalRecord is how a job ended.
@@ -94,6 +96,8 @@
 	MemGB        float64    `json:"r,omitempty"`
 	Rank         int        `json:"p,omitempty"`
 	Shape        wire.Shape `json:"b"`
+
+	team string // whose record it stands in; set by the index
 }
 
 func (e *Entry) need() placement.Amount {
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -46,6 +46,7 @@
 	id    wire.JobID
 	spec  wire.JobSpec
 	at    int64
+	by    wire.Baton
 	stamp wire.Ledger
 	pages map[int]TaskSet
 	done  TaskSet
@@ -53,11 +54,11 @@
 
 	// What follows is only known here.
 	notBefore Time
+	seen      Time
 	why       string // why tasks of it wait
 	started   bool   // its first start was counted
 	errors    map[wire.MachineID]bool
 	avoid     map[wire.MachineID]Time
-	placeable Time // since when a steward could have placed it
 }
 
 // team is a team's placement records.
@@ -140,6 +141,7 @@
 				c.nodes[label] = n.Boot
 			}
 		}
+		clear(c.stewards)
 		c.do(Share{max(len(c.nodes), 1)})
 	case strings.HasPrefix(key, jobPrefix):
 		err = c.applyJob(wire.JobID(strings.TrimPrefix(key, jobPrefix)), value, stamp)
@@ -178,7 +180,6 @@
 	c.changed = true
 	if value == nil {
 		delete(c.jobs, id)
-		delete(c.fresh, id)
 		return nil
 	}
 	var r jobRecord
@@ -188,9 +189,10 @@
 	j := c.jobs[id]
 	if j == nil {
 		j = &job{id: id, pages: map[int]TaskSet{}, errors: map[wire.MachineID]bool{}, avoid: map[wire.MachineID]Time{}}
+		j.seen = c.now
 		c.jobs[id] = j
 	}
-	j.spec, j.at, j.stamp = r.Spec, r.At, stamp
+	j.spec, j.at, j.by, j.stamp = r.Spec, r.At, r.By, stamp
 	j.req = placement.NewRequest(&j.spec)
 	return nil
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -93,10 +93,9 @@
 	}})
 	c.commit(ClassAccept, wire.Transaction{
 		If:   []wire.Condition{{Key: jobKey(id)}, {Key: finalKey(id)}},
-		Then: []wire.Change{put(jobKey(id), jobRecord{Spec: in.Spec, At: c.wall})},
+		Then: []wire.Change{put(jobKey(id), jobRecord{Spec: in.Spec, At: c.wall, By: c.boot})},
 	}, func(r Committed) {
 		if r.Outcome == Done {
-			c.fresh[id] = c.now
 			c.count(countAccepted, 1)
 			c.took(timeAccept, c.now.Sub(asked))
 			c.log.Debug("job accepted", "job", id, "team", in.Spec.Team, "tasks", in.Spec.Tasks)
