--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -128,6 +128,7 @@
 	if direct && (m.direct == nil || r.Newer(m.direct)) {
 		m.direct, m.directTasks, m.heardDirect = r, tasksOf(r), c.now
 		c.dirty = true
+		c.urgent = c.urgent || c.criticalWaits
 	}
 	if m.newest != nil && !r.Newer(m.newest) {
 		return
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -13,12 +13,14 @@
 
 // planner decides which tasks go where.
 type planner struct {
-	dirty     bool
-	nextPlan  Time
-	nextLook  Time
-	lastBump  Time
-	nextSweep Time
-	sweeping  bool
+	dirty         bool
+	urgent        bool // something came in that a waiting critical job needs
+	criticalWaits bool
+	nextPlan      Time
+	nextLook      Time
+	lastBump      Time
+	nextSweep     Time
+	sweeping      bool
 
 	// The index of the records: real ones for commands, and with the rounds
 	// that are being written for planning.
@@ -46,7 +48,8 @@
 }
 
 const (
-	planEvery = 10 * time.Millisecond
+	// planEvery bounds what planning costs; urgent work does not wait for it.
+	planEvery = 50 * time.Millisecond
 	idlePlan  = 500 * time.Millisecond
 	// firstTime is how long the placement of a new job is left to the controller
 	// that accepted it.
@@ -130,6 +133,7 @@
 	pages     map[string]*page // drafts of the pages it changes
 	done      map[wire.JobID]TaskSet
 	donePages map[string]bool
+	wrote     map[string]bool // pages that the transaction changes
 	conds     map[string]wire.Ledger
 	places    bool
 	bump      bool
@@ -140,7 +144,7 @@
 }
 
 func (c *Core) newRound(t *team) *round {
-	return &round{team: t, pages: map[string]*page{}, done: map[wire.JobID]TaskSet{}, donePages: map[string]bool{},
+	return &round{team: t, pages: map[string]*page{}, done: map[wire.JobID]TaskSet{}, donePages: map[string]bool{}, wrote: map[string]bool{},
 		conds: map[string]wire.Ledger{}, skip: map[wire.MachineID]bool{}, tell: map[wire.MachineID]bool{}}
 }
 
@@ -175,9 +179,10 @@
 
 // plan runs one pass over all that waits, if there is reason to.
 func (c *Core) plan() {
-	if !c.ready || !c.whole() || !c.stateFresh() || !c.after(c.nextPlan) {
+	if !c.ready || !c.whole() || !c.stateFresh() || !c.urgent && !c.after(c.nextPlan) {
 		return
 	}
+	c.urgent = false
 	c.reindex()
 	if !c.dirty && !c.after(c.nextPlan.Add(idlePlan)) {
 		return
@@ -501,6 +506,7 @@
 			continue
 		}
 		r.conds[key] = d.stamp
+		r.wrote[key] = true
 		txn.Then = append(txn.Then, put(key, pageValue{d.entries}))
 	}
 	for _, id := range sortedKeys(r.done) {
@@ -553,10 +559,11 @@
 	}
 	t.writing = r
 	sent := c.now
-	c.commit(class, txn, func(res Committed) {
+	c.commitKnown(class, txn, pagePrefix, func(res Committed) {
 		c.dirty = true
 		if res.Outcome == Done {
 			t.writing = nil
+			c.adopt(r, res.Ledger)
 			for id := range r.done {
 				if c.jobs[id] == nil {
 					c.count(countDone, 1)
@@ -596,6 +603,23 @@
 	})
 }
 
+// adopt takes a round's pages into the cache as they were written.
+func (c *Core) adopt(r *round, stamp wire.Ledger) {
+	for _, key := range sortedKeys(r.wrote) {
+		if stamp <= c.ver[key] {
+			continue
+		}
+		d := r.pages[key]
+		c.ver[key] = stamp
+		d.stamp = stamp
+		d.measure()
+		t := c.teamOf(d.team)
+		t.pages[key] = d
+		t.count[d.zone] = max(t.count[d.zone], d.n+1)
+		c.changed = true
+	}
+}
+
 // lost notes a lost placement write: its machines count as locked, and the
 // next tries probe others at random, within bounds.
 func (c *Core) lost(t *team, r *round, sent Time) {
@@ -794,6 +818,7 @@
 	}
 	queue := c.queue(rounds, placed, zones)
 	c.backlog = c.backlog[:0]
+	c.criticalWaits = len(queue) > 0 && queue[0].job.spec.Rank == wire.RankCritical
 	reserved := false
 	for _, w := range queue {
 		if w.job.spec.Rank != wire.RankCritical && !reserved {
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -192,6 +192,7 @@
 		j.seen = c.now
 		c.jobs[id] = j
 	}
+	c.urgent = c.urgent || r.Spec.Rank == wire.RankCritical
 	j.spec, j.at, j.by, j.stamp = r.Spec, r.At, r.By, stamp
 	j.req = placement.NewRequest(&j.spec)
 	return nil
@@ -367,6 +368,12 @@
 // commit runs a transaction and takes its changes into the cache when it went
 // through. The baton comes by the feed alone (see store.baton).
 func (c *Core) commit(class Class, txn wire.Transaction, then func(Committed)) {
+	c.commitKnown(class, txn, "", then)
+}
+
+// commitKnown is commit for a caller that takes the keys under known (if not
+// empty) into the cache itself.
+func (c *Core) commitKnown(class Class, txn wire.Transaction, known string, then func(Committed)) {
 	sent := c.now
 	c.do(Commit{call(c, func(r Committed) {
 		c.count(countCommits, 1)
@@ -378,7 +385,7 @@
 			c.written = max(c.written, r.Ledger)
 			for _, ch := range txn.Then {
 				switch {
-				case ch.Put == batonKey:
+				case ch.Put == batonKey || known != "" && strings.HasPrefix(ch.Put, known):
 				case ch.Put != "":
 					c.apply(ch.Put, ch.Value, r.Ledger)
 				default:
--- a/internal/core/taskset.go
+++ b/internal/core/taskset.go
@@ -136,33 +136,69 @@
 }
 
 // UnmarshalJSON reads what MarshalJSON writes and refuses anything unordered.
+// Records are read very often, so it reads the digits itself.
 func (s *TaskSet) UnmarshalJSON(b []byte) error {
-	var items []json.RawMessage
-	if err := json.Unmarshal(b, &items); err != nil {
-		return err
-	}
 	s.ranges = nil
-	for _, item := range items {
-		var r [2]int
-		if len(item) > 0 && item[0] == '[' {
-			var pair []int
-			if err := json.Unmarshal(item, &pair); err != nil || len(pair) != 2 {
-				return errors.New("task set: bad range")
+	depth, n, digits := 0, 0, 0
+	var pair []int
+	number := func() error {
+		if digits == 0 {
+			return nil
+		}
+		pair = append(pair, n)
+		n, digits = 0, 0
+		if depth == 1 {
+			pair = append(pair, pair[0])
+			return s.push(&pair)
+		}
+		return nil
+	}
+	for _, ch := range b {
+		switch {
+		case ch >= '0' && ch <= '9' && depth > 0:
+			n = n*10 + int(ch-'0')
+			if digits++; digits > len("99999") {
+				return errTaskSet
 			}
-			r = [2]int{pair[0], pair[1]}
-		} else {
-			if err := json.Unmarshal(item, &r[0]); err != nil {
+		case ch == '[' && depth < 2 && digits == 0:
+			depth++
+		case ch == ']' && depth > 0:
+			if err := number(); err != nil {
 				return err
 			}
-			r[1] = r[0]
-		}
-		if r[0] < 0 || r[1] < r[0] || r[1] >= wire.MaxTasks {
-			return errors.New("task set: range out of bounds")
-		}
-		if k := len(s.ranges); k > 0 && s.ranges[k-1][1] >= r[0] {
-			return errors.New("task set: ranges out of order")
+			if depth == 2 {
+				if err := s.push(&pair); err != nil {
+					return err
+				}
+			}
+			depth--
+		case ch == ',':
+			if err := number(); err != nil {
+				return err
+			}
+		case ch == ' ' || ch == '\n' || ch == '\t' || ch == '\r':
+		default:
+			return errTaskSet
 		}
-		s.ranges = append(s.ranges, r)
 	}
+	if depth != 0 || len(pair) != 0 {
+		return errTaskSet
+	}
+	return nil
+}
+
+var errTaskSet = errors.New("task set: not ordered ranges of task numbers")
+
+// push appends a range that was read.
+func (s *TaskSet) push(pair *[]int) error {
+	p := *pair
+	*pair = p[:0]
+	if len(p) != 2 || p[1] < p[0] || p[1] >= wire.MaxTasks {
+		return errTaskSet
+	}
+	if k := len(s.ranges); k > 0 && s.ranges[k-1][1] >= p[0] {
+		return errTaskSet
+	}
+	s.ranges = append(s.ranges, [2]int{p[0], p[1]})
 	return nil
 }
