--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -145,6 +145,7 @@
 		if j := c.jobs[id.task.Job]; j != nil && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
 			c.sawImage(m, j.spec.Image)
 			if !j.started {
+				c.log.Debug("job started", "job", j.id, "class", j.spec.Class, "after_s", float64(c.wall-j.at)/1000)
 				j.started = true
 				c.took(timeStart, time.Duration(max(0, c.wall-j.at))*time.Millisecond)
 			}
@@ -203,6 +204,7 @@
 // noteExit remembers what an exit says of its machine and its job. All of this
 // only steers the choice of machines.
 func (c *Core) noteExit(m *machine, t *wire.TaskReport) {
+	c.log.Debug("task ended", "task", t.Task, "attempt", t.Attempt, "machine", m.id, "cause", t.Cause, "stored", t.Stored)
 	j := c.jobs[t.Task.Job]
 	if j == nil {
 		return
@@ -492,8 +494,8 @@
 
 const (
 	pushRetry   = time.Second
-	silentAsk   = 5 * time.Second
-	showRetry   = 1500 * time.Millisecond
+	silentAsk   = 4 * time.Second
+	showRetry   = 1200 * time.Millisecond
 	forgetAfter = 2 * time.Minute
 	sweepClears = 45 * time.Second
 	manyClears  = 40
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -968,6 +968,8 @@
 		r.skip[m.id] = true
 		r.tell[m.id] = true
 		c.count(countPlaced, ch.Count)
+		c.log.Debug("tasks placed", "job", j.id, "class", j.spec.Class, "machine", m.id, "attempt", attempt, "tasks", ch.Count,
+			"image", m.images[j.spec.Image] > 0 || slices.Contains(c.imagesNoted[m.id], j.spec.Image), "promised", w.promised)
 		if ch.Relaxed {
 			c.count(countRelaxed, ch.Count)
 			c.log.Info("preferred rule relaxed", "job", j.id, "machine", m.id)
@@ -1085,7 +1087,17 @@
 }
 
 // preempt stops tasks to make room and returns how many tasks still have none.
+// Work within its team's guarantee is stopped only where nothing else will do,
+// and only for urgent work.
 func (c *Core) preempt(rounds map[string]*round, fleet placement.Fleet, rules []placement.Node, w *waiting, count int, usable func(*placement.Host) bool) int {
+	count = c.preemptSome(rounds, fleet, rules, w, count, usable, false)
+	if count > 0 && w.job.spec.Rank.Order() <= wire.RankHigh.Order() {
+		count = c.preemptSome(rounds, fleet, rules, w, count, usable, true)
+	}
+	return count
+}
+
+func (c *Core) preemptSome(rounds map[string]*round, fleet placement.Fleet, rules []placement.Node, w *waiting, count int, usable func(*placement.Host) bool, promised bool) int {
 	j := w.job
 	need := j.req.Need
 	type option struct {
@@ -1099,7 +1111,7 @@
 		}
 		room := h.Free.Plus(h.Freeing, 1)
 		for _, e := range c.onMachine[h.ID] {
-			if c.preemptable(rounds, e, w) {
+			if c.preemptable(rounds, e, w, promised) {
 				room = room.Plus(e.need(), float64(e.Tasks.Len()))
 			}
 		}
@@ -1111,11 +1123,11 @@
 		return cmp.Or(-cmp.Compare(a.cost, b.cost), cmp.Compare(a.host.ID, b.host.ID))
 	})
 	for _, o := range options {
-		for count > 0 && c.makeRoom(rounds, o.host, w) {
+		for count > 0 && c.makeRoom(rounds, o.host, w, promised) {
 			o.host.Free = o.host.Free.Plus(need, -1)
 			count--
 			c.count(countPreempted, 1)
-			c.log.Debug("work stopped for a more urgent job", "job", j.id, "machine", o.host.ID)
+			c.log.Debug("work stopped for a more urgent job", "job", j.id, "class", j.spec.Class, "machine", o.host.ID)
 		}
 	}
 	return count
@@ -1124,9 +1136,9 @@
 // preemptable reports whether a job may have an entry stopped: one of lower
 // rank, or, to get its team's guarantee, one that another team runs beyond its
 // own. Urgent work is never stopped for a guarantee.
-func (c *Core) preemptable(rounds map[string]*round, e *Entry, w *waiting) bool {
+func (c *Core) preemptable(rounds map[string]*round, e *Entry, w *waiting, promised bool) bool {
 	j := c.jobs[e.Job]
-	if j == nil || e.Halt != HaltNo {
+	if j == nil || e.Halt != HaltNo || c.within[e.Job] && !promised {
 		return false
 	}
 	lower := e.Rank > w.job.spec.Rank.Order()
@@ -1140,7 +1152,7 @@
 
 // makeRoom halts the least urgent tasks of a machine until there is room, or
 // none if there would not be.
-func (c *Core) makeRoom(rounds map[string]*round, h *placement.Host, w *waiting) bool {
+func (c *Core) makeRoom(rounds map[string]*round, h *placement.Host, w *waiting, promised bool) bool {
 	need := w.job.req.Need
 	how := HaltSave
 	if w.job.spec.Rank == wire.RankCritical {
@@ -1152,12 +1164,12 @@
 	}
 	var victims []*Entry
 	for _, e := range c.onMachine[h.ID] {
-		if c.preemptable(rounds, e, w) {
+		if c.preemptable(rounds, e, w, promised) {
 			victims = append(victims, e)
 		}
 	}
 	slices.SortFunc(victims, func(a, b *Entry) int {
-		return cmp.Or(-cmp.Compare(a.Rank, b.Rank), -cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Job, b.Job))
+		return cmp.Or(cmp.Compare(btoi(c.within[a.Job]), btoi(c.within[b.Job])), -cmp.Compare(a.Rank, b.Rank), -cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Job, b.Job))
 	})
 	type stop struct {
 		e     *Entry
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -154,6 +154,13 @@
 	case strings.HasPrefix(key, doomPrefix):
 		m := wire.MachineID(strings.TrimPrefix(key, doomPrefix))
 		if value == nil {
+			// The record of a doomed machine is dropped only once the cloud has
+			// confirmed its return and nothing stands on it any more. A buyer that
+			// did not know would return it again, and spend on it what it may give
+			// up at a time.
+			if old, ok := c.dooms[m]; ok && !old.Over && c.machines[m] != nil {
+				c.machines[m].gone, c.machines[m].goneAt = true, c.now
+			}
 			delete(c.dooms, m)
 		} else {
 			var d doomRecord
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -27,7 +27,7 @@
 
 const (
 	doTimeout   = 2 * time.Second
-	showTimeout = 1200 * time.Millisecond
+	showTimeout = time.Second
 	idleTime    = 20 * time.Second
 	maxConns    = 2
 	keepFor     = 5 * time.Minute
