--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lilacrill/internal/config"
 	"lilacrill/internal/placement"
 	"lilacrill/wire"
 )
@@ -111,6 +112,10 @@
 // known, or that we have had no chance to hear yet, is not silent.
 func (c *Core) lastSign(m *machine) Time { return max(m.heard, m.first, c.readyAt) }
 
+// silentAsk is how long a worker may be silent before it is asked: its reports
+// come every so often, give or take a quarter.
+func (c *Core) silentAsk() time.Duration { return config.Seconds(1.3 * c.set.Cluster.Workers.ReportS) }
+
 // tasksOf is a report's tasks. A machine may list an ended attempt beside
 // another one of the same task, so the task alone does not name them.
 func tasksOf(r *wire.Report) map[attemptKey]*wire.TaskReport {
@@ -494,8 +499,7 @@
 
 const (
 	pushRetry   = time.Second
-	silentAsk   = 4 * time.Second
-	showRetry   = 1200 * time.Millisecond
+	showRetry   = 900 * time.Millisecond
 	forgetAfter = 2 * time.Minute
 	sweepClears = 45 * time.Second
 	manyClears  = 40
@@ -590,7 +594,7 @@
 		uncleared = max(uncleared, len(m.uncleared))
 		oldest = oldest || len(m.uncleared) > 0
 		for _, e := range c.onMachine[id] {
-			if e.Launcher == c.boot && e.Halt == HaltNo && c.now.Sub(m.heard) < silentAsk {
+			if e.Launcher == c.boot && e.Halt == HaltNo && c.now.Sub(m.heard) < c.silentAsk() {
 				if c.push(m) {
 					c.count(countResent, 1)
 				}
@@ -598,7 +602,7 @@
 			}
 		}
 		// Ask a silent worker itself: it may have lost its way to us.
-		if c.now.Sub(c.lastSign(m)) > silentAsk && m.addr != "" && m.status != wire.MachineBooting && !m.showing && c.after(m.showAt) {
+		if c.now.Sub(c.lastSign(m)) > c.silentAsk() && m.addr != "" && m.status != wire.MachineBooting && !m.showing && c.after(m.showAt) {
 			c.show(m)
 		}
 	}
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -27,7 +27,7 @@
 
 const (
 	doTimeout   = 2 * time.Second
-	showTimeout = time.Second
+	showTimeout = 800 * time.Millisecond
 	idleTime    = 20 * time.Second
 	maxConns    = 2
 	keepFor     = 5 * time.Minute
