--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -133,7 +133,7 @@
 	beatEvery = time.Second
 	// stateSilence is how long the state service may be silent before a
 	// controller doubts its own view.
-	stateSilence = 2500 * time.Millisecond
+	stateSilence = 2 * time.Second
 )
 
 func (c *Core) beat() {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -789,6 +789,8 @@
 	missing  TaskSet
 	zone     string // where its tasks are, if it is to stay together
 	promised bool   // within its team's guarantee
+	due      int64  // the next target that it can still meet, in Unix milliseconds
+	late     bool   // not all can be in time, and this one is not among those chosen
 }
 
 // place gives waiting tasks machines. It plans for all teams, so that what this
@@ -848,12 +850,13 @@
 			continue
 		}
 		w := waiting{job: j, missing: missing, promised: c.within[id]}
+		w.due, w.late = c.due(j)
 		if j.spec.Together {
 			w.zone = zones[id]
 		}
 		queue = append(queue, w)
 	}
-	slices.SortFunc(queue, func(a, b waiting) int {
+	order := func(a, b waiting) int {
 		ra, rb := a.job.spec.Rank.Order(), b.job.spec.Rank.Order()
 		if ra == 0 || rb == 0 {
 			if d := cmp.Compare(ra, rb); d != 0 {
@@ -861,11 +864,64 @@
 			}
 		}
 		return cmp.Or(-cmp.Compare(btoi(a.promised), btoi(b.promised)), cmp.Compare(ra, rb),
-			cmp.Compare(a.job.due(), b.job.due()), cmp.Compare(a.job.at, b.job.at), cmp.Compare(a.job.id, b.job.id))
-	})
+			cmp.Compare(btoi(a.late), btoi(b.late)), cmp.Compare(a.due, b.due), cmp.Compare(a.job.at, b.job.at),
+			cmp.Compare(a.job.id, b.job.id))
+	}
+	slices.SortFunc(queue, order)
+	if c.giveUpSome(queue) {
+		slices.SortFunc(queue, order)
+	}
 	return queue
 }
 
+// giveUpSome marks jobs late when not all can be in time: taking them as they
+// are due, whenever one would be too late, the largest so far is put off. That
+// leaves the most jobs in time. It reports whether it marked any.
+func (c *Core) giveUpSome(queue []waiting) bool {
+	cores := 0.0
+	for _, m := range c.machines {
+		if t := c.kind(m.kind); t != nil && c.usable(m) {
+			cores += t.Cores
+		}
+	}
+	for _, j := range c.jobs {
+		if j.spec.Shape == wire.ShapeService {
+			cores -= j.spec.Cores * float64(j.spec.Tasks)
+		}
+	}
+	if cores <= 0 {
+		return false
+	}
+	var picked []int
+	sum, any := 0.0, false
+	work := func(i int) float64 {
+		s := &queue[i].job.spec
+		return float64(queue[i].missing.Len()) * s.Cores * s.RuntimeS
+	}
+	for i := range queue {
+		w := &queue[i]
+		if w.late || w.due == never || w.job.spec.Accelerators > 0 {
+			continue
+		}
+		picked = append(picked, i)
+		sum += work(i)
+		if sum/cores <= float64(w.due-c.wall)/1000 {
+			continue
+		}
+		k := 0
+		for n := range picked {
+			if work(picked[n]) > work(picked[k]) {
+				k = n
+			}
+		}
+		sum -= work(picked[k])
+		queue[picked[k]].late = true
+		picked = slices.Delete(picked, k, k+1)
+		any = true
+	}
+	return any
+}
+
 func btoi(b bool) int {
 	if b {
 		return 1
@@ -873,13 +929,29 @@
 	return 0
 }
 
-// due is when the job should be complete; jobs without a deadline come in order
-// of their submission after those that have one.
-func (j *job) due() int64 {
+// never is the due time of jobs that nobody expects to end by a certain time.
+const never = int64(1) << 62
+
+// due is when a job should be complete: by its deadline or, without one, within
+// the times that the objectives set for its class. Of several it is the first
+// that can still be met; late says that none can.
+func (c *Core) due(j *job) (due int64, late bool) {
+	least := c.wall + int64(j.spec.RuntimeS*1000)
 	if j.spec.DueS > 0 {
-		return j.at + int64(j.spec.DueS*1000)
+		due = j.at + int64(j.spec.DueS*1000)
+		return due, due < least
+	}
+	due = never
+	for _, o := range c.set.Cluster.Objectives {
+		if o.Kind != "finished" || o.Class != j.spec.Class {
+			continue
+		}
+		late = true
+		if t := j.at + int64(o.WithinS*1000); t >= least && t < due {
+			due = t
+		}
 	}
-	return 1 << 62
+	return due, late && due == never
 }
 
 // promised finds the jobs that lie within their team's guarantee: those that fit
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -27,7 +27,7 @@
 
 const (
 	nodeTTL     = 5 * time.Second
-	extendEvery = 1200 * time.Millisecond
+	extendEvery = 800 * time.Millisecond
 )
 
 // whole reports whether the cache is complete up to its feed.
