A launcher that does not reach a worker is relieved; deaf controllers steward no team

Cause: a live controller that is cut from workers only kept its launches to itself for ever: take-over needed its death.

--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,67 @@
+package capacity
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lilacrill/internal/placement"
+	"lilacrill/wire"
+)
+
+func offers() []Offer {
+	small := wire.MachineType{Name: "small", Cores: 4, MemGB: 16, Rate: 4, MarketPrice: 1}
+	large := wire.MachineType{Name: "large", Cores: 16, Accelerators: 2, MemGB: 64, Rate: 40, MarketPrice: 12}
+	var out []Offer
+	for _, t := range []wire.MachineType{small, large} {
+		for _, zone := range []string{"a", "b"} {
+			out = append(out, Offer{t, zone, false}, Offer{t, zone, true})
+		}
+	}
+	return out
+}
+
+func demand(cores, accelerators float64, spot bool, count int) Demand {
+	return Demand{Request: placement.NewRequest(&wire.JobSpec{ID: "wk-1", Team: "red", Shape: wire.ShapeArray, Tasks: count,
+		Cores: cores, Accelerators: accelerators, MemGB: 1, Spot: spot}), Count: count}
+}
+
+// TestPlanServesAllAndAsksOnce: what is rented has room for every demand, no
+// offer is asked for twice in one plan, and none that a job may not use.
+func TestPlanServesAllAndAsksOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var demands []Demand
+		var need placement.Amount
+		anySpot := false
+		for range rapid.IntRange(1, 6).Draw(t, "demands") {
+			d := demand(float64(rapid.IntRange(1, 4).Draw(t, "cores")), float64(rapid.IntRange(0, 1).Draw(t, "gpus")),
+				rapid.Bool().Draw(t, "spot"), rapid.IntRange(1, 9).Draw(t, "count"))
+			anySpot = anySpot || d.Request.Spot
+			need = need.Plus(d.Request.Need, float64(d.Count))
+			demands = append(demands, d)
+		}
+		var room placement.Amount
+		seen := map[Key]bool{}
+		for _, p := range Plan(demands, nil, offers(), 300) {
+			require.False(t, seen[p.Offer.Key()], "asked twice")
+			seen[p.Offer.Key()] = true
+			require.True(t, anySpot || !p.Offer.Spot)
+			require.LessOrEqual(t, p.Number, wire.MaxHire)
+			h := p.Offer.Host("", 300)
+			room = room.Plus(h.Total, float64(p.Number))
+		}
+		require.True(t, room.Covers(need), "need %v, rented %v", need, room)
+	})
+}
+
+func TestPlanPrefersCheapAndLeavesComingAlone(t *testing.T) {
+	plan := Plan([]Demand{demand(1, 0, true, 4)}, nil, offers(), 300)
+	require.Len(t, plan, 1)
+	require.Equal(t, Key{"small", "a", true}, plan[0].Offer.Key())
+	plan = Plan([]Demand{demand(1, 0, false, 4)}, nil, offers(), 300)
+	require.False(t, plan[0].Offer.Spot)
+	coming := placement.Fleet{offers()[0].Host("m-1", 300)}
+	require.Empty(t, Plan([]Demand{demand(1, 0, false, 4)}, coming, offers(), 300))
+	require.Empty(t, Plan([]Demand{demand(1, 0, false, 4)}, nil, nil, 300))
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -16,6 +16,8 @@
 	machines    map[wire.MachineID]*machine
 	imagesNoted map[wire.MachineID][]string // as the state service has them
 	noting      bool
+	lastDirect  Time // when a worker last spoke to this controller itself
+	nextSound   Time
 	nextNote    Time
 	timeouts    []timeout
 }
@@ -62,6 +64,7 @@
 	faults   map[wire.JobID]Time
 
 	uncleared map[attemptKey]wire.Ledger // exited tasks without an entry, and the revision that is known to lack it
+	lacking   map[attemptKey]Time        // tasks of entries that its reports lack, and since when
 	strays    map[attemptKey]Time        // running tasks without an entry, and since when
 	gone      bool                       // the cloud confirmed that it was returned
 	goneAt    Time
@@ -90,6 +93,7 @@
 			faults:    map[wire.JobID]Time{},
 			uncleared: map[attemptKey]wire.Ledger{},
 			strays:    map[attemptKey]Time{},
+			lacking:   map[attemptKey]Time{},
 		}
 		c.machines[id] = m
 		c.recallImages(m)
@@ -130,8 +134,16 @@
 // hear takes a report, got from the worker itself or passed on by a sibling.
 func (c *Core) hear(r *wire.Report, direct bool) {
 	m := c.machineOf(r.Machine)
+	if direct {
+		c.lastDirect = c.now
+	}
 	if direct && (m.direct == nil || r.Newer(m.direct)) {
 		m.direct, m.directTasks, m.heardDirect = r, tasksOf(r), c.now
+		for key, since := range m.lacking {
+			if m.directTasks[key] != nil || c.now.Sub(since) > forgetAfter {
+				delete(m.lacking, key)
+			}
+		}
 		c.dirty = true
 		c.urgent = c.urgent || c.criticalWaits
 	}
@@ -582,6 +594,7 @@
 	}
 	c.nextLook = c.now.Add(200 * time.Millisecond)
 	c.reindex()
+	c.sound()
 	uncleared, oldest := 0, false
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
@@ -611,6 +624,35 @@
 	}
 }
 
+// deaf reports whether this controller reaches no workers, though there are some.
+func (c *Core) deaf() bool {
+	return c.ready && len(c.machines) > 0 && c.now.Sub(max(c.lastDirect, c.readyAt)) > deafAfter
+}
+
+const (
+	soundAfter = 4 * time.Second
+	soundEvery = time.Second
+	deafAfter  = 8 * time.Second
+)
+
+// sound asks some worker for its report when none has spoken to us for a while:
+// they may all report to others, or we may be cut off.
+func (c *Core) sound() {
+	if c.now.Sub(max(c.lastDirect, c.readyAt)) < soundAfter || !c.after(c.nextSound) {
+		return
+	}
+	c.nextSound = c.now.Add(soundEvery)
+	var known []*machine
+	for _, id := range sortedKeys(c.machines) {
+		if m := c.machines[id]; m.addr != "" && !m.gone && !m.showing && c.now.Sub(m.heard) < forgetAfter && m.newest != nil {
+			known = append(known, m)
+		}
+	}
+	if len(known) > 0 {
+		c.show(known[c.rand.IntN(len(known))])
+	}
+}
+
 // raiseBaton makes a fence so that ended tasks can be cleared.
 func (c *Core) raiseBaton() {
 	if !c.after(c.lastBump.Add(10 * time.Second)) {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -108,12 +108,14 @@
 			best, bestScore = label, s
 		}
 	}
-	score(c.set.Label)
 	for label := range c.nodes {
-		if label != c.set.Label {
+		if !c.deafNodes[label] {
 			score(label)
 		}
 	}
+	if best == "" {
+		score(c.set.Label) // nobody else is known to be of use
+	}
 	c.stewards[team] = best
 	return best
 }
@@ -290,9 +292,10 @@
 					d.Halt = HaltAtOnce
 				}
 			})
-		case !c.live(e.Launcher):
-			// Its launcher is gone: take over, with a fence so that a launch it
-			// sent is dead or in the next report.
+		case !c.live(e.Launcher) || e.Launcher != c.boot && c.lacked(m, e):
+			// Its launcher is gone, or lives but does not reach this worker: take
+			// over, with a fence so that a launch it sent is dead or in the next
+			// report.
 			c.fence(r, p, e, func(d *Entry) {
 				d.Launcher = c.boot
 				c.count(countTakeOvers, 1)
@@ -322,6 +325,22 @@
 	r.remove(p, e, gone)
 }
 
+// lacked reports whether a worker that reports here has lacked an entry's tasks
+// for so long that its launcher does not seem to reach it.
+func (c *Core) lacked(m *machine, e *Entry) bool {
+	first := e.Tasks.ranges[0][0]
+	since, ok := m.lacking[e.key(first)]
+	if !ok {
+		m.lacking[e.key(first)] = c.now
+		return false
+	}
+	return c.now.Sub(since) > launchPatience && c.now.Sub(m.heardDirect) < launchPatience
+}
+
+// launchPatience is how long a launcher has to get a launch to a worker before
+// the controller that hears the worker takes over.
+const launchPatience = 3 * time.Second
+
 // fence changes an entry and raises the baton in the same write.
 func (c *Core) fence(r *round, p *page, e *Entry, change func(*Entry)) {
 	d := r.draft(p)
@@ -1135,7 +1154,7 @@
 // its team's steward.
 func (c *Core) places(j *job) bool {
 	if c.now.Sub(j.seen) < firstTime && c.live(j.by) {
-		return j.by == c.boot
+		return j.by == c.boot && !c.deaf()
 	}
 	return c.mine(j.spec.Team)
 }
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -41,6 +41,8 @@
 // nodeRecord says that a controller is alive; it hangs on its lease.
 type nodeRecord struct {
 	Boot wire.Baton `json:"boot"`
+	// Deaf says that it reaches no workers, so that it should steward no team.
+	Deaf bool `json:"deaf,omitempty"`
 }
 
 // jobRecord is a job that is not over.
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -45,9 +45,9 @@
 	if !c.permitCall && c.after(c.nextExtend) {
 		c.tickLease()
 	}
-	if c.enrolled && c.nodes[c.set.Label] != c.boot {
+	if c.enrolled && (c.nodes[c.set.Label] != c.boot || c.deafNodes[c.set.Label] != c.deaf()) {
 		// A late copy of an earlier enrolment may hang the record on a lease that
-		// has since run out.
+		// has since run out; or others should know that we no longer hear workers.
 		c.enrolled = false
 	}
 	if c.whole() && c.permit != 0 && !c.enrolled && !c.joining && c.after(c.nextTry) {
@@ -99,7 +99,7 @@
 		txn.If = []wire.Condition{{Key: batonKey, Stamp: c.ver[batonKey]}}
 		txn.Then = []wire.Change{put(batonKey, boot)}
 	}
-	node := put(nodeKey(c.set.Label), nodeRecord{Boot: boot})
+	node := put(nodeKey(c.set.Label), nodeRecord{Boot: boot, Deaf: c.deaf()})
 	node.Permit = c.permit
 	txn.Then = append(txn.Then, node)
 	permit := c.permit
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -25,16 +25,17 @@
 	baton      wire.Baton
 	batonStamp wire.Ledger
 
-	jobs     map[wire.JobID]*job
-	finals   map[wire.JobID]finalRecord
-	orphans  map[string]wire.Ledger // done records, all of them, for cleaning up
-	teams    map[string]*team
-	nodes    map[string]wire.Baton
-	dooms    map[wire.MachineID]doomRecord
-	buyer    wire.Baton
-	changed  bool // pages or jobs changed since the last index
-	stateOK  Time
-	watching bool
+	jobs      map[wire.JobID]*job
+	finals    map[wire.JobID]finalRecord
+	orphans   map[string]wire.Ledger // done records, all of them, for cleaning up
+	teams     map[string]*team
+	nodes     map[string]wire.Baton
+	deafNodes map[string]bool
+	dooms     map[wire.MachineID]doomRecord
+	buyer     wire.Baton
+	changed   bool // pages or jobs changed since the last index
+	stateOK   Time
+	watching  bool
 
 	barrierOpen bool
 	waiting     []func(ok bool) // served by the barrier in flight
@@ -80,6 +81,7 @@
 	s.orphans = map[string]wire.Ledger{}
 	s.teams = map[string]*team{}
 	s.nodes = map[string]wire.Baton{}
+	s.deafNodes = map[string]bool{}
 	s.dooms = map[wire.MachineID]doomRecord{}
 }
 
@@ -135,10 +137,12 @@
 		label := strings.TrimPrefix(key, nodePrefix)
 		if value == nil {
 			delete(c.nodes, label)
+			delete(c.deafNodes, label)
 		} else {
 			var n nodeRecord
 			if err = json.Unmarshal(value, &n); err == nil {
 				c.nodes[label] = n.Boot
+				c.deafNodes[label] = n.Deaf
 			}
 		}
 		clear(c.stewards)
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,38 @@
+package peer
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lilacrill/wire"
+)
+
+// TestLines: what was written is read back; what was cut or spoilt is refused
+// or harmless, never fatal.
+func TestLines(t *testing.T) {
+	l := &wire.PeerLine{From: "rig-1", Report: &wire.Report{Machine: "m-1", Addr: "10.0.0.1:1", Type: "g8", Zone: "a", Shift: 1,
+		Tasks: []wire.TaskReport{{Task: wire.TaskID{Job: "wk-1", Index: 2}, Attempt: 3, State: wire.TaskRunning}}}}
+	good, err := json.Marshal(l)
+	require.NoError(t, err)
+	back, err := Parse(good)
+	require.NoError(t, err)
+	require.Equal(t, l, back)
+	for _, bad := range []string{``, `{}`, `[]`, `null`, `{"from":"rig-1","report":{}}`, `{"from":7}`, `{"from":"rig-1","report":{"rig":"m"}}`} {
+		_, err := Parse([]byte(bad))
+		require.Error(t, err, bad)
+	}
+	for i := range len(good) {
+		_, err := Parse(good[:i])
+		require.Error(t, err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b := append([]byte(nil), good...)
+		b[rapid.IntRange(0, len(b)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		if l, err := Parse(b); err == nil && l.Report != nil {
+			require.NoError(t, l.Report.Check())
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/found_test.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/wire"
+)
+
+// TestEndsNotedByTwo guards against lost notes: tasks of one job end at the same
+// time in different zones and are noted by different controllers. Once each
+// wrote the job's done record without a condition on it, and undid the other.
+// It also guards against launches that nobody sends: the recorded launcher lives
+// but does not reach the worker, which reports to another controller.
+func TestEndsNotedByTwo(t *testing.T) {
+	for seed := range uint64(4) {
+		w := newWorld(t, seed, 3)
+		for n := range 8 {
+			w.AddMachine(types[0], zones[n%3], false, 0)
+		}
+		for n := range 40 {
+			spec, _ := job(n, 4)
+			spec.Tasks = 4
+			w.At(time.Duration(2+n)*time.Second, func() { w.Submit(spec, 3*time.Second) })
+		}
+		// The steward hears of nothing itself, so whoever gets a report notes it.
+		w.At(time.Second, func() { w.NoDirect = true })
+		w.Run(200 * time.Second)
+		require.Empty(t, w.Broken)
+		require.Empty(t, w.Unfinished(), "%v", w.Records())
+	}
+}
+
+// TestSoldOutOffersDoNotHideOthers guards against a buyer that asks for the same
+// sold-out offer for every job that waits, and never gets to one that is left.
+func TestSoldOutOffersDoNotHideOthers(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.Settings.Cluster.Teams[1].CPUsMax = 400
+	for n := range 30 {
+		spec, _ := job(2*n+1, 0)
+		spec.Spot, spec.Tasks = true, 5
+		w.At(time.Second, func() { w.Submit(spec, 30*time.Second) })
+	}
+	w.Run(25 * time.Second)
+	rented := map[string]int{}
+	for _, m := range w.machines {
+		rented[fmt.Sprint(m.kind.Name, " ", m.spot)]++
+	}
+	require.Positive(t, rented["g8 false"], "only %v were rented", rented)
+}
+
+// TestAllAtOnce is a day that crosses troubles: the state service is away while
+// all controllers restart and a machine hangs; then one controller is refused
+// while another machine dies; then a slow state service.
+func TestAllAtOnce(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newWorld(t, seed, 3)
+		w.Loss = 0.02
+		for n := range 24 {
+			spec, run := job(n, n%8)
+			w.At(time.Duration(2*n)*time.Second, func() { w.Submit(spec, run) })
+			if spec.Shape == wire.ShapeService {
+				w.At(time.Duration(70+n)*time.Second, func() { w.CancelJob(spec.ID) })
+			}
+		}
+		for _, tr := range []trouble{
+			{"state down", 15 * time.Second, 20 * time.Second, 0},
+			{"crash all", 20 * time.Second, 0, 0},
+			{"hang", 22 * time.Second, 25 * time.Second, 1},
+			{"state cut", 50 * time.Second, 20 * time.Second, 1},
+			{"die", 52 * time.Second, 0, 2},
+			{"slow state", 75 * time.Second, 20 * time.Second, 0},
+			{"cloud down", 75 * time.Second, 15 * time.Second, 0},
+		} {
+			w.At(tr.at, func() { tr.happen(w) })
+		}
+		w.Run(120 * time.Second)
+		w.Loss = 0
+		w.Run(250 * time.Second)
+		require.Empty(t, w.Broken)
+		require.Empty(t, w.Unfinished(), "%v", w.Records())
+	}
+}
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -18,8 +18,9 @@
 	stored  bool
 	on      bool // has its image and has not exited: counts for the rules
 	halted  core.Time
-	doneAt  core.Time // when it completes, while running
-	epoch   int       // stale timers are told by it
+	doneAt  core.Time  // when it completes, while running
+	baton   wire.Baton // under which it was launched
+	epoch   int        // stale timers are told by it
 }
 
 type taskKey struct {
@@ -190,6 +191,11 @@
 			}
 		case wire.VerbClear:
 			if t != nil && t.state == wire.TaskExited {
+				// Another copy of the launch may be under way, and would start the
+				// task again.
+				if m.baton <= t.baton {
+					m.w.breaks("unfenced clear of %v", t.id)
+				}
 				delete(m.tasks, key)
 			}
 		}
@@ -198,7 +204,7 @@
 
 func (m *machine) launch(o wire.Order) {
 	w := m.w
-	t := &task{id: o.Task, attempt: o.Attempt, state: wire.TaskPulling}
+	t := &task{id: o.Task, attempt: o.Attempt, state: wire.TaskPulling, baton: m.baton}
 	m.tasks[taskKey{o.Task, o.Attempt}] = t
 	j := w.jobs[o.Task.Job]
 	if j == nil {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -30,6 +30,8 @@
 	// state service refuses, CutWorkers such that workers do not reach.
 	StateDown, CloudDown bool
 	CutState, CutWorkers map[int]bool
+	// NoDirect has workers refuse direct calls from controllers.
+	NoDirect bool
 	// SlowState is added to the state service's answers.
 	SlowState time.Duration
 
@@ -500,7 +502,7 @@
 	}
 	w.after(2*time.Second, func() { finish(0, core.Answered{Outcome: core.Unknown}) })
 	m := w.byID[wire.MachineID(addr)]
-	if m == nil || m.dead || w.CutWorkers[n.index] {
+	if m == nil || m.dead || w.NoDirect || w.CutWorkers[n.index] {
 		return
 	}
 	deliver := func() { m.act(func() { finish(w.latency(), exec(m)) }) }
