Cold starts go where nothing else is being fetched; every record write must name its version

The stand-in world now breaks on any record written without a condition on it; seen to fail with the done record's condition taken out.

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -736,6 +736,7 @@
 		for image := range m.images {
 			h.Images[image] = true
 		}
+		h.Pulling = c.pulling(m)
 		fleet = append(fleet, h)
 		byID[id] = h
 	}
@@ -770,6 +771,19 @@
 	return fleet
 }
 
+// pulling counts the images that a machine is fetching.
+func (c *Core) pulling(m *machine) int {
+	images := map[string]bool{}
+	for key, t := range m.tasks {
+		if t.State == wire.TaskPulling {
+			if j := c.jobs[key.task.Job]; j != nil {
+				images[j.spec.Image] = true
+			}
+		}
+	}
+	return len(images)
+}
+
 // planPages are the team's pages as a round leaves them.
 func (t *team) planPages(r *round) []*page {
 	out := make([]*page, 0, len(t.pages))
@@ -1192,8 +1206,9 @@
 	j := w.job
 	need := j.req.Need
 	type option struct {
-		host *placement.Host
-		cost float64
+		host    *placement.Host
+		pulling int
+		free    float64
 	}
 	var options []option
 	for _, h := range fleet {
@@ -1207,11 +1222,11 @@
 			}
 		}
 		if room.Covers(need) {
-			options = append(options, option{h, h.Free.Cores})
+			options = append(options, option{h, h.Pulling, h.Free.Cores})
 		}
 	}
 	slices.SortFunc(options, func(a, b option) int {
-		return cmp.Or(-cmp.Compare(a.cost, b.cost), cmp.Compare(a.host.ID, b.host.ID))
+		return cmp.Or(cmp.Compare(a.pulling, b.pulling), -cmp.Compare(a.free, b.free), cmp.Compare(a.host.ID, b.host.ID))
 	})
 	for _, o := range options {
 		for count > 0 && c.makeRoom(rounds, o.host, w, promised) {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -107,7 +107,8 @@
 }
 
 // rankOf prefers machines that did not fail lately, that do not lose
-// accelerators to work without any, that have the image, that are cheap where
+// accelerators to work without any, that have the image or at least fetch no
+// other, that are cheap where
 // spot is allowed, and that are fuller already, so that large tasks find whole
 // machines.
 func rankOf(r *Request, h *Host) rank {
@@ -116,7 +117,7 @@
 		k.wasted = 1
 	}
 	if !h.Images[r.Image] {
-		k.image = 1
+		k.image = 1 + h.Pulling
 	}
 	if r.Spot && h.Labels[LabelSpot] != "true" {
 		k.kind = 1
--- a/internal/placement/rules.go
+++ b/internal/placement/rules.go
@@ -114,6 +114,8 @@
 	Slots int
 	// Images holds the images the machine is known to have.
 	Images map[string]bool
+	// Pulling is how many images the machine is fetching: they share its rate.
+	Pulling int
 	// Price is what the machine costs an hour.
 	Price float64
 	// Penalty worsens the rank of machines that did badly lately.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"lilacrill/internal/config"
@@ -360,13 +361,19 @@
 	}
 }
 
-// checkLimits holds a transaction against the limits of the state service.
+// checkLimits holds a transaction against the limits of the state service, and
+// wants every record written on the condition that it is as it was read.
 func (w *World) checkLimits(t wire.Transaction) {
 	l := w.Settings.Cluster.State
 	if len(t.Then) > l.TxnOps || len(t.If) > 4*l.TxnOps {
 		w.breaks("transaction with %d changes and %d conditions", len(t.Then), len(t.If))
 	}
 	for _, c := range t.Then {
+		for _, records := range []string{"l/p/", "l/d/", "l/j/", "l/f/"} {
+			if strings.HasPrefix(c.Put, records) && !slices.ContainsFunc(t.If, func(i wire.Condition) bool { return i.Key == c.Put }) {
+				w.breaks("%s written without a condition on it", c.Put)
+			}
+		}
 		if float64(len(c.Value)) > l.ValueKB*1024 {
 			w.breaks("value of %d bytes under %s", len(c.Value), c.Put)
 		}
