--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -92,7 +92,7 @@
 		ka, kb := keys[a], keys[b]
 		return cmp.Or(cmp.Compare(ka.penalty, kb.penalty), cmp.Compare(ka.wasted, kb.wasted),
 			cmp.Compare(ka.image, kb.image), cmp.Compare(ka.kind, kb.kind),
-			cmp.Compare(ka.left, kb.left), cmp.Compare(a.ID, b.ID))
+			cmp.Compare(ka.size, kb.size), cmp.Compare(ka.left, kb.left), cmp.Compare(a.ID, b.ID))
 	})
 	return pool
 }
@@ -103,6 +103,7 @@
 	wasted  float64
 	image   int
 	kind    int
+	size    float64
 	left    float64
 }
 
@@ -110,7 +111,8 @@
 // accelerators to work without any, that have the image or at least fetch no
 // other, that are cheap where
 // spot is allowed, and that are fuller already, so that large tasks find whole
-// machines.
+// machines. Replicas of services go to small machines first: each that is lost
+// takes fewer of them along.
 func rankOf(r *Request, h *Host) rank {
 	k := rank{penalty: h.Penalty}
 	if r.Need.Accelerators == 0 && h.Total.Accelerators > 0 {
@@ -122,9 +124,10 @@
 	if r.Spot && h.Labels[LabelSpot] != "true" {
 		k.kind = 1
 	}
-	if h.Total.Cores > 0 {
-		k.left = h.Free.Cores
+	if r.Single {
+		k.size = h.Total.Cores
 	}
+	k.left = h.Free.Cores
 	return k
 }
 
