--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -73,7 +73,8 @@
 	refusalMost    = 40 * time.Second
 	hiresAtOnce    = 4
 	silentWindow   = 10 * time.Second
-	silentMost     = 4 // machines given up in a window
+	silentLeast    = 4 // machines that may be given up in a window, however small the fleet
+	silentPart     = 4 // and at least every fourth of those that report
 )
 
 func (c *Core) kind(name string) *wire.MachineType {
@@ -384,7 +385,7 @@
 				c.doom(m, "never came up")
 			}
 		case quiet > silence && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
-			if c.mayGiveUp() {
+			if c.mayGiveUp(reporting) {
 				c.doom(m, "silent")
 			}
 		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idle && c.lacking == 0 && len(c.backlog) == 0:
@@ -407,9 +408,9 @@
 }
 
 // mayGiveUp bounds how many silent machines go at once.
-func (c *Core) mayGiveUp() bool {
+func (c *Core) mayGiveUp(reporting int) bool {
 	c.silentAt = slices.DeleteFunc(c.silentAt, func(t Time) bool { return c.now.Sub(t) > silentWindow })
-	if len(c.silentAt) >= silentMost {
+	if len(c.silentAt) >= max(silentLeast, reporting/silentPart) {
 		return false
 	}
 	c.silentAt = append(c.silentAt, c.now)
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -740,6 +740,29 @@
 		fleet = append(fleet, h)
 		byID[id] = h
 	}
+	c.planned(rounds, func(p *page, e *Entry) {
+		h := byID[e.Machine]
+		if h == nil {
+			// Rules with within read the zone of an unknown machine too.
+			h = &placement.Host{ID: e.Machine, Labels: placement.Tags{placement.LabelZone: p.zone}}
+			byID[e.Machine] = h
+			fleet = append(fleet, h)
+		}
+		n := e.Tasks.Len()
+		h.Free = h.Free.Plus(e.need(), -float64(n))
+		h.Slots -= n
+		g := placement.Group{Team: p.team, Tags: e.tags(), Count: n}
+		if e.Halt != HaltNo || c.jobs[e.Job] == nil {
+			h.Freeing = h.Freeing.Plus(e.need(), float64(n))
+			g.Stopping = true
+		}
+		h.Groups = append(h.Groups, g)
+	})
+	return fleet
+}
+
+// planned visits all entries as the rounds under way will leave them.
+func (c *Core) planned(rounds map[string]*round, visit func(*page, *Entry)) {
 	for _, name := range sortedKeys(c.teams) {
 		t := c.teams[name]
 		r := t.writing
@@ -748,27 +771,10 @@
 		}
 		for _, p := range t.planPages(r) {
 			for i := range p.entries {
-				e := &p.entries[i]
-				h := byID[e.Machine]
-				if h == nil {
-					// Rules with within read the zone of an unknown machine too.
-					h = &placement.Host{ID: e.Machine, Labels: placement.Tags{placement.LabelZone: p.zone}}
-					byID[e.Machine] = h
-					fleet = append(fleet, h)
-				}
-				n := e.Tasks.Len()
-				h.Free = h.Free.Plus(e.need(), -float64(n))
-				h.Slots -= n
-				g := placement.Group{Team: name, Tags: e.tags(), Count: n}
-				if e.Halt != HaltNo || c.jobs[e.Job] == nil {
-					h.Freeing = h.Freeing.Plus(e.need(), float64(n))
-					g.Stopping = true
-				}
-				h.Groups = append(h.Groups, g)
+				visit(p, &p.entries[i])
 			}
 		}
 	}
-	return fleet
 }
 
 // pulling counts the images that a machine is fetching.
@@ -837,20 +843,11 @@
 	used := map[string]placement.Amount{}
 	placed := map[wire.JobID]TaskSet{}
 	zones := map[wire.JobID]string{}
-	for name, t := range c.teams {
-		r := t.writing
-		if r == nil {
-			r = rounds[name]
-		}
-		for _, p := range t.planPages(r) {
-			for i := range p.entries {
-				e := &p.entries[i]
-				used[name] = used[name].Plus(e.need(), float64(e.Tasks.Len()))
-				placed[e.Job] = placed[e.Job].With(e.Tasks)
-				zones[e.Job] = p.zone
-			}
-		}
-	}
+	c.planned(rounds, func(p *page, e *Entry) {
+		used[p.team] = used[p.team].Plus(e.need(), float64(e.Tasks.Len()))
+		placed[e.Job] = placed[e.Job].With(e.Tasks)
+		zones[e.Job] = p.zone
+	})
 	queue := c.queue(rounds, placed, zones)
 	c.backlog = c.backlog[:0]
 	c.criticalWaits = len(queue) > 0 && queue[0].job.spec.Rank == wire.RankCritical
