--- a/cmd/lilacrill/engine.go
+++ b/cmd/lilacrill/engine.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"lilacrill/internal/admin"
 	"lilacrill/internal/cloud"
 	"lilacrill/internal/config"
 	"lilacrill/internal/core"
@@ -115,7 +117,7 @@
 		<-ctx.Done()
 		return errors.Join(public.Close(), peers.Close())
 	})
-	g.Go(func() error { return server.New(e.set, e, e.log).Serve(public) })
+	g.Go(func() error { return server.New(e.set, e, os.Getenv(admin.TokenVariable), e.log).Serve(public) })
 	g.Go(func() error {
 		return e.mesh.Serve(peers, func(l *wire.PeerLine) { e.offer(core.PeerSaid{Line: l}) })
 	})
--- a/cmd/lilacrill/main.go
+++ b/cmd/lilacrill/main.go
@@ -72,6 +72,7 @@
 			return err
 		},
 	})
+	root.AddCommand(adminCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"time"
+)
+
+// Affinity says what happens when no machine that meets a job's preferred
+// rules has room.
+type Affinity string
+
+// The modes of "How Atlas chooses a host".
+const (
+	AffinityPreferred Affinity = "preferred"
+	AffinityEnforced  Affinity = "enforced"
+)
+
+// Operator is what operators choose at run time, through the administration
+// API. It is kept in the state service and is the same for all controllers.
+type Operator struct {
+	// ProbeHosts, ProbeTries and ProbeS bound placement under contention.
+	ProbeHosts int     `json:"probe_hosts"`
+	ProbeTries int     `json:"probe_tries"`
+	ProbeS     float64 `json:"probe_s"`
+	// BusyS is the pause before a task is placed again after all tries.
+	BusyS float64 `json:"busy_s"`
+	// Affinity decides on preferred rules that cannot be met.
+	Affinity Affinity `json:"affinity"`
+	// SpareShare is the part of the running tasks of classes that are promised a
+	// short wait for which more room is kept free; SpareLeast is the least.
+	SpareShare float64 `json:"spare_share"`
+	SpareLeast int     `json:"spare_least"`
+	// SilenceS is how long a machine may be silent before it is returned.
+	SilenceS float64 `json:"silence_s"`
+	// IdleS is how long a machine may be idle before it is returned.
+	IdleS float64 `json:"idle_s"`
+}
+
+// DefaultOperator is what holds until operators choose otherwise.
+func DefaultOperator() Operator {
+	return Operator{
+		ProbeHosts: 16, ProbeTries: 3, ProbeS: 0.4, BusyS: 1,
+		Affinity:   AffinityPreferred,
+		SpareShare: 0.1, SpareLeast: 1,
+		SilenceS: 9, IdleS: 40,
+	}
+}
+
+// With takes over the values of a JSON object, by their names, and checks the
+// result. Its error names the field.
+func (o Operator) With(changes json.RawMessage) (Operator, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(changes, &fields); err != nil || fields == nil {
+		return o, errors.New("settings: want a JSON object")
+	}
+	v := reflect.ValueOf(&o).Elem()
+	for name, raw := range fields {
+		found := false
+		for i := range v.NumField() {
+			if tag, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ","); tag == name {
+				found = true
+				if string(raw) == "null" || json.Unmarshal(raw, v.Field(i).Addr().Interface()) != nil {
+					return o, fmt.Errorf("%s: wrong type", name)
+				}
+			}
+		}
+		if !found {
+			return o, fmt.Errorf("%s: no such setting", name)
+		}
+	}
+	return o, o.check()
+}
+
+func (o *Operator) check() error {
+	for _, f := range []struct {
+		name      string
+		v         float64
+		low, high float64
+	}{
+		{"probe_hosts", float64(o.ProbeHosts), 1, 1000},
+		{"probe_tries", float64(o.ProbeTries), 1, 100},
+		{"probe_s", o.ProbeS, 0.01, 60},
+		{"busy_s", o.BusyS, 0.01, 60},
+		{"spare_share", o.SpareShare, 0, 10},
+		{"spare_least", float64(o.SpareLeast), 0, 10000},
+		{"silence_s", o.SilenceS, 3, 3600},
+		{"idle_s", o.IdleS, 1, 86400},
+	} {
+		if math.IsNaN(f.v) || f.v < f.low || f.v > f.high {
+			return fmt.Errorf("%s: %v is not between %v and %v", f.name, f.v, f.low, f.high)
+		}
+	}
+	if o.Affinity != AffinityPreferred && o.Affinity != AffinityEnforced {
+		return fmt.Errorf("affinity: %q is neither preferred nor enforced", o.Affinity)
+	}
+	return nil
+}
+
+// Probe is how long placement under contention may go on.
+func (o *Operator) Probe() time.Duration { return Seconds(o.ProbeS) }
--- /dev/null
+++ b/internal/core/admin.go
@@ -0,0 +1,201 @@
+package core
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"lilacrill/internal/config"
+	"lilacrill/internal/placement"
+	"lilacrill/wire"
+)
+
+// operator is the operators' settings and their version; 0 while nobody has
+// changed the defaults.
+type operator struct {
+	chosen  config.Operator
+	version wire.Ledger
+}
+
+func (c *Core) applySettings(value json.RawMessage, stamp wire.Ledger) error {
+	chosen, err := config.DefaultOperator(), error(nil)
+	if value != nil {
+		// Values that a newer release stored and this one does not know make it
+		// keep what it has.
+		if chosen, err = chosen.With(value); err != nil {
+			return err
+		}
+	}
+	c.chosen, c.version, c.dirty = chosen, stamp, true
+	c.log.Info("operators' settings apply", "version", stamp, "settings", string(value))
+	return nil
+}
+
+// view answers an operator who wants to look.
+func (c *Core) view(in ViewAsked) {
+	if !c.ready {
+		c.unavailable(in.Request, "starting")
+		return
+	}
+	c.reindex()
+	var body any
+	switch in.View {
+	case wire.ViewControllers:
+		body = c.viewControllers()
+	case wire.ViewTeams:
+		body = c.viewTeams()
+	case wire.ViewMachines:
+		body = c.viewMachines()
+	case wire.ViewJobs:
+		body = c.viewJobs()
+	case wire.ViewMetrics:
+		body = c.metrics.view()
+	case wire.ViewSettings:
+		if !c.stateFresh() {
+			c.unavailable(in.Request, "state service unavailable")
+			return
+		}
+		c.barrier(func(ok bool) {
+			if !ok {
+				c.unavailable(in.Request, "state service unavailable")
+				return
+			}
+			c.reply(in.Request, http.StatusOK, c.viewSettings())
+		})
+		return
+	default:
+		c.refuse(in.Request, http.StatusNotFound, "no such view", 0)
+		return
+	}
+	c.reply(in.Request, http.StatusOK, body)
+}
+
+func (c *Core) viewSettings() wire.AdminSettings {
+	b, err := json.Marshal(c.chosen)
+	if err != nil {
+		panic(err) // numbers and a word: cannot fail
+	}
+	return wire.AdminSettings{Version: c.version, Settings: b}
+}
+
+// change stores new settings against the version they were made from.
+func (c *Core) change(in ChangeAsked) {
+	if !c.serving(in.Request) {
+		return
+	}
+	// The barrier makes sure that a version is called stale, or the values are
+	// checked, by what is stored now.
+	c.barrier(func(ok bool) {
+		if !ok {
+			c.unavailable(in.Request, "state service unavailable")
+			return
+		}
+		next, err := c.chosen.With(in.Change.Settings)
+		switch {
+		case err != nil:
+			c.refuse(in.Request, http.StatusBadRequest, err.Error(), 0)
+			return
+		case in.Change.Version != c.version:
+			c.reply(in.Request, http.StatusConflict, wire.Problem{Error: "stale version: read the settings again"})
+			return
+		}
+		c.commit(ClassAccept, wire.Transaction{
+			If:   []wire.Condition{{Key: settingsKey, Stamp: c.ver[settingsKey]}},
+			Then: []wire.Change{put(settingsKey, next)},
+		}, func(r Committed) {
+			switch r.Outcome {
+			case Done:
+				c.reply(in.Request, http.StatusOK, c.viewSettings())
+			case Conflict:
+				c.reply(in.Request, http.StatusConflict, wire.Problem{Error: "stale version: read the settings again"})
+			default:
+				c.unavailable(in.Request, "state service unavailable; read the settings to see whether they were stored")
+			}
+		})
+	})
+}
+
+func (c *Core) viewControllers() []wire.AdminController {
+	out := []wire.AdminController{{Label: c.set.Label, Boot: c.boot, Alive: true, Buyer: c.buyer == c.boot, Self: true,
+		State: c.stateFresh(), Ledger: c.feed, Baton: c.baton}}
+	for _, s := range c.set.Siblings {
+		boot, alive := c.nodes[s.Label]
+		p := c.peers[s.Label]
+		out = append(out, wire.AdminController{Label: s.Label, Boot: boot, Alive: alive, Buyer: alive && c.buyer == boot,
+			State: p != nil && p.fresh && c.now.Sub(p.heard) < 3*beatEvery})
+	}
+	return out
+}
+
+func (c *Core) viewTeams() []wire.AdminTeam {
+	var out []wire.AdminTeam
+	for i := range c.set.Cluster.Teams {
+		s := &c.set.Cluster.Teams[i]
+		t := c.teamOf(s.Name)
+		v := wire.AdminTeam{Name: s.Name, Steward: c.steward(s.Name), CPUsGuaranteed: s.CPUs, CPUsMax: s.CPUsMax,
+			GPUsGuaranteed: s.GPUs, GPUsMax: s.GPUsMax, PlacementPages: len(t.pages), PlacementPaused: !c.after(t.placeFrom)}
+		var used placement.Amount
+		for _, p := range t.pages {
+			for k := range p.entries {
+				used = used.Plus(p.entries[k].need(), float64(p.entries[k].Tasks.Len()))
+			}
+		}
+		v.CPUs, v.GPUs = used.Cores, used.Accelerators
+		for _, j := range c.jobs {
+			if j.spec.Team == s.Name {
+				v.Jobs++
+				v.WaitingTasks += j.spec.Tasks - j.done.Len() - c.placedOf(j.id)
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func (c *Core) placedOf(id wire.JobID) int {
+	n := 0
+	for _, e := range c.ofJob[id] {
+		n += e.Tasks.Len()
+	}
+	return n
+}
+
+func (c *Core) viewMachines() []wire.AdminMachine {
+	out := []wire.AdminMachine{}
+	for _, id := range sortedKeys(c.machines) {
+		m := c.machines[id]
+		if m.gone {
+			continue
+		}
+		v := wire.AdminMachine{ID: id, Type: m.kind, Zone: m.zone, Spot: m.spot, Status: m.status,
+			SilentS: c.now.Sub(c.lastSign(m)).Seconds(), Faulty: !c.after(m.badUntil), Reserved: m.reserved, Recalled: m.recallAt != 0}
+		if d, doomed := c.dooms[id]; doomed && !d.Over {
+			v.Doomed = d.Why
+		}
+		for _, e := range c.onMachine[id] {
+			v.Tasks += e.Tasks.Len()
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// maxViewed bounds how many jobs one view shows.
+const maxViewed = 500
+
+func (c *Core) viewJobs() []wire.AdminJob {
+	out := []wire.AdminJob{}
+	for _, id := range sortedKeys(c.jobs) {
+		j := c.jobs[id]
+		v := wire.AdminJob{ID: id, Class: j.spec.Class, Team: j.spec.Team, Rank: j.spec.Rank, Tasks: j.spec.Tasks,
+			Done: j.done.Len(), Placed: c.placedOf(id)}
+		v.Waiting = max(0, v.Tasks-v.Done-v.Placed)
+		if v.Waiting > 0 {
+			v.Reason = j.why
+		}
+		out = append(out, v)
+		if len(out) == maxViewed {
+			break
+		}
+	}
+	return out
+}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -69,8 +70,6 @@
 	refusalPause   = 5 * time.Second // doubled with every refusal in a row
 	refusalMost    = 40 * time.Second
 	hiresAtOnce    = 4
-	idleReturn     = 40 * time.Second
-	silentReturn   = 9 * time.Second
 	silentWindow   = 10 * time.Second
 	silentMost     = 4 // machines given up in a window
 )
@@ -111,6 +110,7 @@
 	c.cataloguing = true
 	c.do(ReadCatalogue{call(c, func(r CatalogueRead) {
 		c.cataloguing = false
+		c.outcome(r.Outcome, countCloudNot, countCloudLost)
 		if r.Outcome != Done {
 			// An old catalogue still serves; without any, ask again soon.
 			c.catalogueAt = c.now.Add(time.Second)
@@ -155,6 +155,7 @@
 	c.nextList = c.now.Add(listEvery)
 	c.do(ListMachines{call(c, func(r Listed) {
 		c.listing = false
+		c.outcome(r.Outcome, countCloudNot, countCloudLost)
 		if r.Outcome != Done {
 			return
 		}
@@ -211,7 +212,7 @@
 }
 
 // spares is the room to be kept free: for every class that is promised a short
-// wait, some of the tasks it has now.
+// wait, for some part of the tasks it has now.
 func (c *Core) spares() []capacity.Demand {
 	type seen struct {
 		spec  *wire.JobSpec
@@ -237,7 +238,7 @@
 		delete(classes, o.Class)
 		spec := *s.spec
 		spec.ID, spec.Zone, spec.Apart, spec.Together, spec.Shape = "", "", false, false, wire.ShapeArray
-		out = append(out, capacity.Demand{Request: placement.NewRequest(&spec), Count: 1 + (s.tasks+9)/10})
+		out = append(out, capacity.Demand{Request: placement.NewRequest(&spec), Count: c.chosen.SpareLeast + int(math.Ceil(c.chosen.SpareShare*float64(s.tasks)))})
 	}
 	return out
 }
@@ -301,6 +302,7 @@
 		key := capacity.Key{Type: h.Type, Zone: h.Zone, Spot: h.Spot}
 		switch {
 		case r.Outcome == Done:
+			c.count(countHired, len(r.Names))
 			c.log.Info("machines rented", "type", h.Type, "zone", h.Zone, "spot", h.Spot, "asked", h.Number, "got", len(r.Names))
 			for _, id := range r.Names {
 				m := c.machineOf(id)
@@ -317,6 +319,7 @@
 			// The name makes the repeat safe: it rents nothing twice.
 			c.hire(h, tries-1)
 		case r.Refused:
+			c.count(countNoCapacity, 1)
 			c.refuseOffer(key)
 		default:
 			c.nextBuy = c.now.Add(time.Second)
@@ -330,11 +333,12 @@
 	for _, id := range sortedKeys(c.onMachine) {
 		c.machineOf(id) // one that neither reports nor is listed is silent too
 	}
+	silence, idle := config.Seconds(c.chosen.SilenceS), config.Seconds(c.chosen.IdleS)
 	silent, reporting := 0, 0
 	for _, m := range c.machines {
 		if m.newest != nil && !m.gone {
 			reporting++
-			if c.now.Sub(c.lastSign(m)) > silentReturn {
+			if c.now.Sub(c.lastSign(m)) > silence {
 				silent++
 			}
 		}
@@ -362,11 +366,11 @@
 			if t != nil && c.now.Sub(m.born) > config.Seconds(4*t.StartupS)+10*time.Second {
 				c.doom(m, "never came up")
 			}
-		case quiet > silentReturn && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
+		case quiet > silence && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
 			if c.mayGiveUp() {
 				c.doom(m, "silent")
 			}
-		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idleReturn && c.lacking == 0 && len(c.backlog) == 0:
+		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idle && c.lacking == 0 && len(c.backlog) == 0:
 			c.doom(m, "idle")
 		}
 	}
@@ -446,12 +450,14 @@
 	c.returning = true
 	c.do(ReturnMachines{call(c, func(r GivenBack) {
 		c.returning = false
+		c.outcome(r.Outcome, countCloudNot, countCloudLost)
 		if r.Outcome != Done {
 			return
 		}
 		for _, id := range names {
 			m := c.machineOf(id)
 			m.gone, m.goneAt, c.dirty = true, c.now, true
+			c.count(countReturned+c.dooms[id].Why, 1)
 		}
 	}), names})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,6 +30,8 @@
 	fleet
 	cloudView
 	planner
+	operator
+	metrics
 	peers map[string]*peerView
 	fresh map[wire.JobID]Time // jobs accepted here: this controller places them at once
 
@@ -50,6 +52,8 @@
 	c.fleet.init()
 	c.cloudView.init()
 	c.planner.init()
+	c.metrics.init()
+	c.chosen = config.DefaultOperator()
 	return c
 }
 
@@ -77,6 +81,10 @@
 			delete(c.calls, in.Call)
 			then(in.Result)
 		}
+	case ViewAsked:
+		c.view(in)
+	case ChangeAsked:
+		c.change(in)
 	case PeerSaid:
 		c.peerSaid(in.Line)
 	}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -134,6 +134,10 @@
 	for id, t := range m.tasks {
 		if j := c.jobs[id.task.Job]; j != nil && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
 			m.images[j.spec.Image] = c.now
+			if !j.started {
+				j.started = true
+				c.took(timeStart, time.Duration(max(0, c.wall-j.at))*time.Millisecond)
+			}
 		}
 		if old := before[id]; t.State == wire.TaskExited && (old == nil || old.State != wire.TaskExited) {
 			c.noteExit(m, t)
@@ -374,19 +378,20 @@
 	manyClears  = 40
 )
 
-// push sends a machine what it has to be told, directly.
-func (c *Core) push(m *machine) {
+// push sends a machine what it has to be told, directly, and reports whether
+// there was anything.
+func (c *Core) push(m *machine) bool {
 	if m.pushing || m.newest == nil || m.gone || !c.after(m.pushAt) || !c.ready {
-		return
+		return false
 	}
 	if m.newest.Baton > c.baton {
 		c.barrier(func(bool) {})
-		return
+		return false
 	}
 	c.reindex()
 	orders := c.ordersFor(m)
 	if len(orders) == 0 {
-		return
+		return false
 	}
 	m.pushing = true
 	m.pushAt = c.now.Add(pushRetry)
@@ -397,6 +402,7 @@
 			c.pushNow(m)
 		}
 	}), m.addr, wire.DoRequest{Baton: c.baton, Shift: m.newest.Shift, Orders: orders}})
+	return true
 }
 
 // pushNow sends what has just been decided.
@@ -459,7 +465,9 @@
 		oldest = oldest || len(m.uncleared) > 0
 		for _, e := range c.onMachine[id] {
 			if e.Launcher == c.boot && e.Halt == HaltNo && c.now.Sub(m.heard) < silentAsk {
-				c.push(m)
+				if c.push(m) {
+					c.count(countResent, 1)
+				}
 				break
 			}
 		}
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -70,6 +70,16 @@
 		Call   CallID
 		Result any
 	}
+	// ViewAsked is an operator who wants to look.
+	ViewAsked struct {
+		Request RequestID
+		View    wire.AdminView
+	}
+	// ChangeAsked is an operator who wants to change settings.
+	ChangeAsked struct {
+		Request RequestID
+		Change  wire.AdminSettings
+	}
 	// PeerSaid is a line from another controller.
 	PeerSaid struct {
 		Line *wire.PeerLine
@@ -236,6 +246,8 @@
 func (Reported) isInput()    {}
 func (Returned) isInput()    {}
 func (PeerSaid) isInput()    {}
+func (ViewAsked) isInput()   {}
+func (ChangeAsked) isInput() {}
 
 func (Reply) isOutput()          {}
 func (Load) isOutput()           {}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -41,14 +41,6 @@
 	p.ofJob = map[wire.JobID][]*Entry{}
 }
 
-// The bounds of "How Atlas chooses a host" for placement under contention.
-const (
-	probeHosts = 16
-	probeTries = 3
-	probeTime  = 400 * time.Millisecond
-	busyPause  = time.Second
-)
-
 const (
 	planEvery   = 10 * time.Millisecond
 	idlePlan    = 500 * time.Millisecond
@@ -84,7 +76,9 @@
 // mine reports whether this controller is a team's steward: the one that looks
 // after whatever its jobs need beyond the first placement. It is only a hint
 // that spares lost writes; safety rests on the conditions of the writes.
-func (c *Core) mine(team string) bool {
+func (c *Core) mine(team string) bool { return c.steward(team) == c.set.Label }
+
+func (c *Core) steward(team string) string {
 	best, bestScore := "", uint64(0)
 	score := func(label string) {
 		h := fnv.New64a()
@@ -104,7 +98,7 @@
 			score(label)
 		}
 	}
-	return best == c.set.Label
+	return best
 }
 
 func (c *Core) teamSettings(name string) *config.Team {
@@ -271,7 +265,10 @@
 		case !c.live(e.Launcher):
 			// Its launcher is gone: take over, with a fence so that a launch it
 			// sent is dead or in the next report.
-			c.fence(r, p, e, func(d *Entry) { d.Launcher = c.boot })
+			c.fence(r, p, e, func(d *Entry) {
+				d.Launcher = c.boot
+				c.count(countTakeOvers, 1)
+			})
 		}
 	}
 	if gone.Empty() {
@@ -304,6 +301,7 @@
 		if x := &d.entries[i]; sameEntry(x, e) {
 			change(x)
 			x.Fence = c.baton + 1
+			c.count(countFences, 1)
 			if !r.bump {
 				r.bump = true
 				r.ops++
@@ -536,6 +534,11 @@
 		c.dirty = true
 		if res.Outcome == Done {
 			t.writing = nil
+			for id := range r.done {
+				if c.jobs[id] == nil {
+					c.count(countDone, 1)
+				}
+			}
 			if r.places {
 				t.tries, t.locked = 0, nil
 			}
@@ -581,9 +584,10 @@
 	for m := range r.skip {
 		t.locked[m] = true
 	}
-	if t.tries >= probeTries || c.now.Sub(t.firstTry) > probeTime {
+	if t.tries >= c.chosen.ProbeTries || c.now.Sub(t.firstTry) > c.chosen.Probe() {
 		t.tries, t.locked = 0, nil
-		t.placeFrom = c.now.Add(busyPause)
+		t.placeFrom = c.now.Add(config.Seconds(c.chosen.BusyS))
+		c.count(countBusy, 1)
 		c.log.Debug("placement busy", "team", t.name)
 	}
 }
@@ -859,7 +863,11 @@
 	j := w.job
 	team := j.spec.Team
 	set := c.teamSettings(team)
-	if set == nil || !c.after(j.notBefore) {
+	if set == nil {
+		return
+	}
+	if !c.after(j.notBefore) {
+		j.why = "its tasks failed; trying again later"
 		return
 	}
 	// The limit counts whatever may still be on a machine.
@@ -867,6 +875,7 @@
 		Plus(used[team], -1).Times(j.req.Need, w.missing.Len())
 	whole := j.spec.Shape == wire.ShapeGang
 	if count == 0 || whole && count < j.spec.Tasks {
+		j.why = "the team is at its limit"
 		return
 	}
 	since, fresh := c.fresh[j.id]
@@ -874,13 +883,14 @@
 	r := rounds[team]
 	t := c.teamOf(team)
 	act := r != nil && t.writing == nil && c.after(t.placeFrom) && (fresh || c.mine(team)) && c.fits(r, 5)
-	o := placement.Options{Relax: true, Whole: whole, Rand: c.rand, Usable: func(h *placement.Host) bool {
+	o := placement.Options{Relax: c.chosen.Affinity == config.AffinityPreferred, Whole: whole, Rand: c.rand, Usable: func(h *placement.Host) bool {
 		until, avoid := j.avoid[h.ID]
 		return c.usable(c.machines[h.ID]) && (!avoid || c.after(until))
 	}}
 	if act && t.tries > 0 {
-		o.Probes, o.Skip, o.Relax = probeHosts, t.locked, false
+		o.Probes, o.Skip, o.Relax = c.chosen.ProbeHosts, t.locked, false
 	}
+	j.why = "being placed"
 	choices := fleet.Choose(j.req, count, w.zone, o)
 	missing := w.missing
 	attempt := wire.Attempt(0)
@@ -912,7 +922,9 @@
 		r.conds[doomKey(m.id)] = c.ver[doomKey(m.id)]
 		r.skip[m.id] = true
 		r.tell[m.id] = true
+		c.count(countPlaced, ch.Count)
 		if ch.Relaxed {
+			c.count(countRelaxed, ch.Count)
 			c.log.Info("preferred rule relaxed", "job", j.id, "machine", m.id)
 		}
 	}
@@ -954,6 +966,7 @@
 		count = c.preempt(rounds, fleet, rules, j, count)
 	}
 	if count > 0 {
+		j.why = "no machine that fits has room"
 		c.backlog = append(c.backlog, demand{job: j, count: count, promised: w.promised})
 	}
 }
@@ -989,6 +1002,7 @@
 		for count > 0 && c.makeRoom(rounds, o.host, need, rank) {
 			o.host.Free = o.host.Free.Plus(need, -1)
 			count--
+			c.count(countPreempted, 1)
 			c.log.Debug("work stopped for a more urgent job", "job", j.id, "machine", o.host.ID)
 		}
 	}
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -53,6 +53,8 @@
 
 	// What follows is only known here.
 	notBefore Time
+	why       string // why tasks of it wait
+	started   bool   // its first start was counted
 	errors    map[wire.MachineID]bool
 	avoid     map[wire.MachineID]Time
 	placeable Time // since when a steward could have placed it
@@ -126,6 +128,8 @@
 		if value != nil {
 			err = json.Unmarshal(value, &c.buyer)
 		}
+	case key == settingsKey:
+		err = c.applySettings(value, stamp)
 	case strings.HasPrefix(key, nodePrefix):
 		label := strings.TrimPrefix(key, nodePrefix)
 		if value == nil {
@@ -296,6 +300,7 @@
 
 // fed takes an answer of the feed and reports whether it was one.
 func (c *Core) fed(f Fed) bool {
+	c.outcome(f.Outcome, countStateNot, countStateLost)
 	switch f.Outcome {
 	case Done:
 	case TooOld:
@@ -358,7 +363,11 @@
 // commit runs a transaction and takes its changes into the cache when it went
 // through. The baton comes by the feed alone (see store.baton).
 func (c *Core) commit(class Class, txn wire.Transaction, then func(Committed)) {
+	sent := c.now
 	c.do(Commit{call(c, func(r Committed) {
+		c.count(countCommits, 1)
+		c.took(timeCommit, c.now.Sub(sent))
+		c.outcome(r.Outcome, countStateNot, countStateLost)
 		switch r.Outcome {
 		case Done:
 			c.stateOK = c.now
@@ -374,6 +383,7 @@
 			}
 		case Conflict:
 			c.stateOK = c.now
+			c.count(countConflicts, 1)
 		}
 		then(r)
 	}), class, txn})
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -21,6 +21,7 @@
 }
 
 func (c *Core) refuse(r RequestID, status int, why string, after time.Duration) {
+	c.count(countRefused, 1)
 	c.do(Reply{Request: r, Status: status, Body: wire.Problem{Error: why}, RetryAfter: after})
 }
 
@@ -83,7 +84,7 @@
 // state service be lost, the user's retry finds the job or writes it again.
 func (c *Core) accept(in Submitted) {
 	id := in.Spec.ID
-	open := true
+	open, asked := true, c.now
 	c.timeouts = append(c.timeouts, timeout{c.now.Add(submitPatience), func() {
 		if open {
 			open = false
@@ -96,6 +97,8 @@
 	}, func(r Committed) {
 		if r.Outcome == Done {
 			c.fresh[id] = c.now
+			c.count(countAccepted, 1)
+			c.took(timeAccept, c.now.Sub(asked))
 			c.log.Debug("job accepted", "job", id, "team", in.Spec.Team, "tasks", in.Spec.Tasks)
 		}
 		if !open {
@@ -249,6 +252,7 @@
 		}, func(done Committed) {
 			switch done.Outcome {
 			case Done:
+				c.count(countWithdrawn, 1)
 				c.log.Debug("job withdrawn", "job", id)
 				c.reply(r, http.StatusOK, finalStatus(id, end))
 				c.pushJob(id)
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -17,8 +17,9 @@
 
 // Client calls one address, over connections that it keeps.
 type Client struct {
-	host *fasthttp.HostClient
-	base string
+	host   *fasthttp.HostClient
+	base   string
+	bearer string
 }
 
 // dialTimeout bounds how long a connection may take to open.
@@ -50,6 +51,13 @@
 	}
 }
 
+// Bearer is the same client with a token in every call.
+func (c *Client) Bearer(token string) *Client {
+	d := *c
+	d.bearer = token
+	return &d
+}
+
 // Close drops the idle connections.
 func (c *Client) Close() { c.host.CloseIdleConnections() }
 
@@ -61,6 +69,9 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI(c.base + path)
+	if c.bearer != "" {
+		req.Header.Set("Authorization", "Bearer "+c.bearer)
+	}
 	if body != nil {
 		b, err := json.Marshal(body)
 		if err != nil {
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,204 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lilacrill/wire"
+)
+
+var (
+	zoneNames = []string{"a", "b", "c"}
+	keys      = []string{"job", "role", "zone"}
+	values    = []string{"1", "2"}
+)
+
+func genTags(t *rapid.T, name string, least int) Tags {
+	return rapid.MapOfN(rapid.SampledFrom(keys), rapid.SampledFrom(values), least, 2).Draw(t, name)
+}
+
+func genNode(t *rapid.T, depth int) Node {
+	switch kind := rapid.IntRange(0, 5).Draw(t, "node"); {
+	case kind == 0 && depth > 0, kind == 1 && depth > 0:
+		var kids []Node
+		for range rapid.IntRange(1, 3).Draw(t, "kids") {
+			kids = append(kids, genNode(t, depth-1))
+		}
+		if kind == 0 {
+			return Node{AnyOf: kids}
+		}
+		return Node{AllOf: kids}
+	}
+	r := &Rule{Resource: Resource(rapid.IntRange(0, 1).Draw(t, "resource")),
+		Operator: Operator(rapid.IntRange(0, 1).Draw(t, "operator")), Tags: genTags(t, "tags", 1)}
+	if r.Resource == TaskTags {
+		r.Within = rapid.SampledFrom([]string{"", "zone", "rack"}).Draw(t, "within")
+		r.Stopping = rapid.Bool().Draw(t, "stopping")
+		if r.Operator == HasNot {
+			r.Allow = rapid.IntRange(0, 2).Draw(t, "allow")
+		}
+	}
+	return Node{Rule: r}
+}
+
+func genFleet(t *rapid.T) Fleet {
+	var f Fleet
+	for i := range rapid.IntRange(1, 5).Draw(t, "hosts") {
+		h := &Host{ID: wire.MachineID(fmt.Sprint("m", i)), Labels: Tags{}}
+		if rapid.IntRange(0, 4).Draw(t, "labelled") > 0 {
+			h.Labels["zone"] = rapid.SampledFrom(values).Draw(t, "zone")
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "groups") {
+			h.Groups = append(h.Groups, Group{Team: rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"),
+				Tags: genTags(t, "task", 0), Count: rapid.IntRange(1, 2).Draw(t, "count"), Stopping: rapid.Bool().Draw(t, "gone")})
+		}
+		f = append(f, h)
+	}
+	return f
+}
+
+// plain evaluates a node word by word as the paper describes it, task by task.
+func plain(f Fleet, n Node, team string, h *Host) bool {
+	switch {
+	case n.AnyOf != nil:
+		any := false
+		for _, k := range n.AnyOf {
+			any = plain(f, k, team, h) || any
+		}
+		return any
+	case n.AllOf != nil:
+		all := true
+		for _, k := range n.AllOf {
+			all = plain(f, k, team, h) && all
+		}
+		return all
+	}
+	r := n.Rule
+	matches := func(tags Tags) bool {
+		for k := range r.Tags {
+			if tags[k] != r.Tags[k] {
+				return false
+			}
+		}
+		return true
+	}
+	if r.Resource == MachineLabels {
+		return matches(h.Labels) == (r.Operator == Has)
+	}
+	count := 0
+	for _, o := range f {
+		inGroup := o == h
+		if r.Within != "" {
+			mine, labelled := h.Labels[r.Within]
+			if !labelled {
+				return false
+			}
+			its, ok := o.Labels[r.Within]
+			inGroup = ok && its == mine
+		}
+		for _, g := range o.Groups {
+			for range g.Count {
+				if inGroup && g.Team == team && matches(g.Tags) && (r.Stopping || !g.Stopping) {
+					count++
+				}
+			}
+		}
+	}
+	return (r.Operator == Has && count > 0) || (r.Operator == HasNot && count <= r.Allow)
+}
+
+// TestRulesAgainstPlainReading compares the evaluation with a plain reading of
+// the paper's definitions.
+func TestRulesAgainstPlainReading(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := genFleet(t)
+		n := genNode(t, 3)
+		for _, h := range f {
+			require.Equal(t, plain(f, n, "red", h), f.Holds([]Node{n}, "red", h))
+		}
+	})
+}
+
+// TestChooseKeepsTheRules places generated jobs and holds every choice against
+// what the job's fields say, read without rules.
+func TestChooseKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var f Fleet
+		for i := range rapid.IntRange(1, 8).Draw(t, "hosts") {
+			total := Amount{float64(rapid.IntRange(1, 8).Draw(t, "cores")), float64(rapid.IntRange(0, 2).Draw(t, "gpus")), 32}
+			spot := rapid.Bool().Draw(t, "spot")
+			f = append(f, &Host{ID: wire.MachineID(fmt.Sprint("m", i)), Total: total, Free: total, Slots: 50,
+				Labels: Tags{LabelZone: rapid.SampledFrom(zoneNames).Draw(t, "zone"), LabelSpot: fmt.Sprint(spot),
+					LabelType: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "type")}})
+		}
+		j := &wire.JobSpec{ID: "wk-1", Team: "red", Shape: rapid.SampledFrom([]wire.Shape{wire.ShapeArray, wire.ShapeService, wire.ShapeGang}).Draw(t, "shape"),
+			Tasks: rapid.IntRange(1, 9).Draw(t, "tasks"), Cores: float64(rapid.IntRange(1, 3).Draw(t, "need")), MemGB: 1,
+			Together: rapid.Bool().Draw(t, "together"), Apart: rapid.Bool().Draw(t, "apart"), Spot: rapid.Bool().Draw(t, "spotOK")}
+		if rapid.Bool().Draw(t, "typed") {
+			j.Types = []string{"x"}
+		}
+		if rapid.Bool().Draw(t, "zoned") {
+			j.Zone = "a"
+		}
+		o := Options{Relax: rapid.Bool().Draw(t, "relax"), Whole: j.Shape == wire.ShapeGang}
+		if rapid.Bool().Draw(t, "probing") {
+			o.Probes, o.Rand = 3, rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))
+		}
+		before := map[wire.MachineID]Amount{}
+		byID := map[wire.MachineID]*Host{}
+		for _, h := range f {
+			before[h.ID], byID[h.ID] = h.Free, h
+		}
+		choices := f.Choose(NewRequest(j), j.Tasks, "", o)
+		inZone, onHost, sum := map[string]int{}, map[wire.MachineID]int{}, 0
+		for _, c := range choices {
+			h := byID[c.Machine]
+			inZone[c.Zone] += c.Count
+			sum += c.Count
+			onHost[c.Machine] += c.Count
+			require.True(t, j.Types == nil || h.Labels[LabelType] == "x")
+			require.True(t, j.Zone == "" || c.Zone == "a")
+			require.True(t, j.Spot || h.Labels[LabelSpot] == "false")
+			if j.Shape == wire.ShapeService && !c.Relaxed {
+				require.Equal(t, 1, c.Count, "replicas share a machine though the rule was not relaxed")
+			}
+		}
+		require.LessOrEqual(t, sum, j.Tasks)
+		if o.Whole {
+			require.True(t, sum == 0 || sum == j.Tasks, "part of a gang placed")
+		}
+		for _, n := range inZone {
+			require.True(t, !j.Apart || n <= (j.Tasks+1)/2, "too many in one zone")
+		}
+		require.True(t, !j.Together || len(inZone) <= 1, "not together")
+		for id, h := range byID {
+			require.InDelta(t, before[id].Cores-float64(onHost[id])*j.Cores, h.Free.Cores, 1e-9, "booked wrongly")
+			require.GreaterOrEqual(t, h.Free.Cores, 0.0)
+		}
+	})
+}
+
+// TestPreferredIsRelaxedOnlyForRoom: replicas share a machine when no other has
+// room, but not when the others merely count as locked.
+func TestPreferredIsRelaxedOnlyForRoom(t *testing.T) {
+	fleet := func() Fleet {
+		var f Fleet
+		for _, id := range []wire.MachineID{"m1", "m2"} {
+			f = append(f, &Host{ID: id, Labels: labels("a"), Total: Amount{4, 0, 8}, Free: Amount{4, 0, 8}, Slots: 9})
+		}
+		return f
+	}
+	j := &wire.JobSpec{ID: "wk-1", Team: "red", Shape: wire.ShapeService, Tasks: 3, Cores: 1, MemGB: 1}
+	choices := fleet().Choose(NewRequest(j), 3, "", Options{Relax: true})
+	require.Len(t, choices, 3)
+	require.True(t, choices[2].Relaxed)
+	require.Equal(t, 2, total(fleet().Choose(NewRequest(j), 3, "", Options{})))
+	locked := fleet().Choose(NewRequest(j), 3, "", Options{Skip: map[wire.MachineID]bool{"m2": true}})
+	require.Equal(t, 1, total(locked), "a locked machine made replicas share")
+}
+
+func labels(zone string) Tags { return Tags{LabelZone: zone, LabelSpot: "false", LabelType: "x"} }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"lilacrill/internal/admin"
 	"lilacrill/internal/config"
 	"lilacrill/internal/core"
 	"lilacrill/wire"
@@ -47,8 +48,8 @@
 	comeBack    = time.Second
 )
 
-// New makes a server.
-func New(set *config.Settings, backend Backend, log *slog.Logger) *Server {
+// New makes a server. Without an administration token that API is off.
+func New(set *config.Settings, backend Backend, adminToken string, log *slog.Logger) *Server {
 	s := &Server{backend: backend, log: log, most: int64(max(16, set.Cluster.Quota.Sockets/4))}
 	s.app = fiber.New(fiber.Config{
 		AppName:                 "lilacrill",
@@ -65,6 +66,7 @@
 	s.app.Post("/work/:id/cancel", s.cancel)
 	s.app.Get("/up", s.up)
 	s.app.Post("/hello", s.hello)
+	admin.Register(s.app, adminToken, s.ask)
 	return s
 }
 
--- /dev/null
+++ b/wire/admin.go
@@ -0,0 +1,100 @@
+package wire
+
+import "encoding/json"
+
+// The administration API, under /admin/v1. Each view is answered by whatever
+// controller is asked, as it sees things.
+
+// AdminView names a view of the administration API.
+type AdminView string
+
+// The views.
+const (
+	ViewControllers AdminView = "controllers"
+	ViewTeams       AdminView = "teams"
+	ViewMachines    AdminView = "machines"
+	ViewJobs        AdminView = "jobs"
+	ViewSettings    AdminView = "settings"
+	ViewMetrics     AdminView = "metrics"
+)
+
+// AdminViews lists the views.
+var AdminViews = []AdminView{ViewControllers, ViewTeams, ViewMachines, ViewJobs, ViewSettings, ViewMetrics}
+
+// AdminController is one controller.
+type AdminController struct {
+	Label  string `json:"label"`
+	Boot   Baton  `json:"boot"`
+	Alive  bool   `json:"alive"`
+	Buyer  bool   `json:"buyer"`
+	Self   bool   `json:"self"`
+	State  bool   `json:"state_fresh"`
+	Ledger Ledger `json:"ledger,omitempty"`
+	Baton  Baton  `json:"baton,omitempty"`
+}
+
+// AdminTeam is a team's usage against its guarantee and its limit.
+type AdminTeam struct {
+	Name            string  `json:"name"`
+	Steward         string  `json:"steward"`
+	CPUs            float64 `json:"cpus_used"`
+	CPUsGuaranteed  float64 `json:"cpus"`
+	CPUsMax         float64 `json:"cpus_max"`
+	GPUs            float64 `json:"gpus_used"`
+	GPUsGuaranteed  float64 `json:"gpus"`
+	GPUsMax         float64 `json:"gpus_max"`
+	Jobs            int     `json:"jobs"`
+	WaitingTasks    int     `json:"waiting_tasks"`
+	PlacementPages  int     `json:"placement_pages"`
+	PlacementPaused bool    `json:"placement_paused"`
+}
+
+// AdminMachine is one machine.
+type AdminMachine struct {
+	ID       MachineID     `json:"id"`
+	Type     string        `json:"rigtype"`
+	Zone     string        `json:"yard"`
+	Spot     bool          `json:"loaners"`
+	Status   MachineStatus `json:"status"`
+	SilentS  float64       `json:"silent_s"`
+	Tasks    int           `json:"tasks"`
+	Doomed   string        `json:"doomed,omitempty"`
+	Faulty   bool          `json:"faulty,omitempty"`
+	Reserved bool          `json:"reserved,omitempty"`
+	Recalled bool          `json:"recalled,omitempty"`
+}
+
+// AdminJob is one job that is not over, with the reason why tasks wait.
+type AdminJob struct {
+	ID      JobID  `json:"id"`
+	Class   string `json:"jobclass"`
+	Team    string `json:"crew"`
+	Rank    Rank   `json:"rank"`
+	Tasks   int    `json:"loads"`
+	Done    int    `json:"done"`
+	Placed  int    `json:"placed"`
+	Waiting int    `json:"waiting"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// AdminSettings is the operators' settings with their version.
+type AdminSettings struct {
+	Version  Ledger          `json:"version"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// AdminMetrics is counts since the controller started, and the distribution of
+// times in milliseconds.
+type AdminMetrics struct {
+	Counts map[string]uint64       `json:"counts"`
+	Times  map[string]AdminLatency `json:"times_ms"`
+}
+
+// AdminLatency sums up a histogram.
+type AdminLatency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P90   int64 `json:"p90"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,131 @@
+package wire
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const example = `{"id":"wk-000412","jobclass":"train","crew":"vision","shape":"group","rank":"high","loads":16,
+ "cores":8.0,"accelerators":1.0,"mem_gb":64.0,"kit":"img-07","size_gb":6.2,
+ "rigtypes":["g8"],"yard":null,"together":true,"apart":false,"loaners":true,
+ "runtime_s":240.0,"savepoint_s":30.0,"stash_s":4.0,"due_s":900.0,"later":{"x":[1]}}`
+
+func TestParseJobTakesTheExample(t *testing.T) {
+	j, err := ParseJob([]byte(example))
+	require.NoError(t, err)
+	require.Equal(t, JobSpec{ID: "wk-000412", Class: "train", Team: "vision", Shape: ShapeGang, Rank: RankHigh, Tasks: 16,
+		Cores: 8, Accelerators: 1, MemGB: 64, Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, Together: true, Spot: true,
+		RuntimeS: 240, SavepointS: 30, StashS: 4, DueS: 900}, j)
+}
+
+// TestParseJobNamesTheField takes one field away, or makes it wrong, and wants
+// it named.
+func TestParseJobNamesTheField(t *testing.T) {
+	nullable := map[string]bool{"rigtypes": true, "yard": true, "due_s": true}
+	wrong := map[string][]string{
+		"id":       {`7`, `""`, `"wk-"`, `"wk-12x"`, `"job-1"`, `"wk-1234567890123456789"`},
+		"shape":    {`"set"`, `1`},
+		"rank":     {`"urgent"`, `[]`},
+		"loads":    {`0`, `-1`, `100001`, `1.5`, `"3"`, `1e30`},
+		"cores":    {`-1`, `1e300`, `"NaN"`, `true`},
+		"mem_gb":   {`-0.1`, `{}`},
+		"crew":     {`""`, `3`, `"` + strings.Repeat("x", 101) + `"`},
+		"loaners":  {`"yes"`, `0`},
+		"due_s":    {`-5`},
+		"rigtypes": {`[]`, `"g8"`, `[""]`},
+	}
+	var fields map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal([]byte(example), &fields))
+	with := func(name, value string) []byte {
+		changed := map[string]json.RawMessage{}
+		for k, v := range fields {
+			changed[k] = v
+		}
+		if value == "" {
+			delete(changed, name)
+		} else {
+			changed[name] = json.RawMessage(value)
+		}
+		b, err := json.Marshal(changed)
+		require.NoError(t, err)
+		return b
+	}
+	for name := range fields {
+		if name == "later" {
+			continue
+		}
+		_, err := ParseJob(with(name, ""))
+		if nullable[name] {
+			require.NoError(t, err, name)
+			continue
+		}
+		require.ErrorContains(t, err, name)
+	}
+	for name, values := range wrong {
+		for _, v := range values {
+			_, err := ParseJob(with(name, v))
+			require.ErrorContains(t, err, name, "%s = %s", name, v)
+		}
+	}
+	for _, body := range []string{"", "nothing", "[]", `"x"`, "null", "{", example[:100], `{"id":NaN}`} {
+		_, err := ParseJob([]byte(body))
+		require.Error(t, err, body)
+	}
+}
+
+// TestFormatsRoundTrip writes generated messages and reads them back.
+func TestFormatsRoundTrip(t *testing.T) {
+	task := rapid.Custom(func(t *rapid.T) TaskReport {
+		r := TaskReport{Task: TaskID{JobID("wk-" + rapid.StringMatching("[0-9]{1,18}").Draw(t, "job")), rapid.IntRange(0, MaxTasks-1).Draw(t, "index")},
+			Attempt: Attempt(rapid.Uint64().Draw(t, "try")),
+			State:   rapid.SampledFrom([]TaskState{TaskPulling, TaskWaiting, TaskRunning, TaskFlushing, TaskExited}).Draw(t, "state")}
+		if r.State == TaskExited {
+			r.Cause, r.Stored = rapid.SampledFrom([]Cause{CauseDone, CauseHalted, CauseError}).Draw(t, "cause"), rapid.Bool().Draw(t, "stored")
+		}
+		return r
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		r := Report{Machine: "m-1", Addr: "10.0.0.1:1", Type: "g8", Zone: "a", Spot: rapid.Bool().Draw(t, "spot"),
+			Shift: Shift(rapid.Uint64Min(1).Draw(t, "shift")), Tally: Tally(rapid.Uint64().Draw(t, "tally")), Baton: Baton(rapid.Uint64().Draw(t, "baton")),
+			Tasks: rapid.SliceOfN(task, 1, 5).Draw(t, "tasks")}
+		if rapid.Bool().Draw(t, "recalled") {
+			s := rapid.Float64Range(0, 100).Draw(t, "recall")
+			r.RecallS = &s
+		}
+		b, err := json.Marshal(&r)
+		require.NoError(t, err)
+		back, err := ParseReport(b)
+		require.NoError(t, err)
+		require.Equal(t, &r, back)
+	})
+}
+
+// TestReportsAreChecked cuts and spoils a report; none may be taken, and none
+// may stop the reader.
+func TestReportsAreChecked(t *testing.T) {
+	good := `{"rig":"m-000231","addr":"10.1.0.232:9000","rigtype":"g8","yard":"a","loaners":true,"shift":1,"tally":88,"baton":41,"recall_s":null,"loads":[{"load":"wk-000412/3","try":2,"status":"running"}]}`
+	_, err := ParseReport([]byte(good))
+	require.NoError(t, err)
+	for i := range len(good) {
+		_, err := ParseReport([]byte(good[:i]))
+		require.Error(t, err, good[:i])
+	}
+	for old, spoilt := range map[string]string{`"rig":"m-000231"`: `"rig":""`, `"shift":1`: `"shift":0`, `"tally":88`: `"tally":-1`,
+		`wk-000412/3`: `wk-000412/100000`, `"running"`: `"flying"`, `"baton":41`: `"baton":1e99`, `"try":2`: `"try":2.5`, `/3`: `/-3`} {
+		_, err := ParseReport([]byte(strings.Replace(good, old, spoilt, 1)))
+		require.Error(t, err, spoilt)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b := []byte(good)
+		for range rapid.IntRange(1, 4).Draw(t, "spots") {
+			b[rapid.IntRange(0, len(b)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		if r, err := ParseReport(b); err == nil {
+			require.NoError(t, r.Check())
+		}
+	})
+}
