--- /dev/null
+++ b/cmd/lilacrill/main_test.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/admin"
+	"lilacrill/internal/config"
+	"lilacrill/internal/standin"
+	"lilacrill/wire"
+)
+
+// patient is how long a test waits for what must come in the end; nothing is
+// asserted of how fast it comes.
+const patient = time.Minute
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// cluster is two controllers over stand-ins for the state service and the
+// cloud, on loopback.
+type cluster struct {
+	state *standin.StateServer
+	addrs []string
+}
+
+func startCluster(t *testing.T, token string) *cluster {
+	t.Setenv(admin.TokenVariable, token)
+	c := &cluster{state: standin.NewStateServer()}
+	state := httptest.NewServer(c.state)
+	cloud := httptest.NewServer(standin.CloudServer{Types: []wire.MachineType{
+		{Name: "c4", Cores: 4, MemGB: 16, Rate: 1, MarketPrice: 0.5, StartupS: 1, Zones: []string{"east"}}}})
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		stop()
+		running.Wait()
+		state.CloseClientConnections()
+		state.Close()
+		cloud.Close()
+	})
+	peers := []string{freeAddr(t), freeAddr(t)}
+	for i := range 2 {
+		c.addrs = append(c.addrs, freeAddr(t))
+		set := &config.Settings{Label: fmt.Sprint("rig-", i), Zone: "east", PublicAddr: c.addrs[i], PeerListen: peers[i],
+			Siblings: []config.Sibling{{Label: fmt.Sprint("rig-", 1-i), Endpoint: peers[1-i]}},
+			Services: config.Services{Cloud: strings.TrimPrefix(cloud.URL, "http://"), State: strings.TrimPrefix(state.URL, "http://")},
+			Cluster: config.Cluster{Size: 2, Zones: []string{"east"}, Teams: []config.Team{{Name: "desk", CPUs: 4, CPUsMax: 8}},
+				Workers: config.Workers{ReportS: 1, LeaseS: 20, GangWaitS: 10, GangPeerS: 5, CancelS: 30},
+				State:   config.State{RPS: 500, WriteRPS: 200, ValueKB: 8, TxnOps: 16}, Cloud: config.Cloud{RPS: 5},
+				Quota: config.Quota{CoreShare: 1, MemMB: 200, Sockets: 500}}}
+		e := newEngine(set, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			if err := e.run(ctx); err != nil {
+				t.Errorf("controller ended: %v", err)
+			}
+		}()
+	}
+	for i := range c.addrs {
+		c.until(t, i, "GET", "/up", "", 200)
+	}
+	return c
+}
+
+// call makes one request and returns the status, the body and Retry-After.
+func (c *cluster) call(t *testing.T, i int, method, path, body string, header ...string) (int, string, string) {
+	req, err := http.NewRequest(method, "http://"+c.addrs[i]+path, strings.NewReader(body))
+	require.NoError(t, err)
+	for k := 0; k+1 < len(header); k += 2 {
+		req.Header.Set(header[k], header[k+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error(), ""
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, string(b), resp.Header.Get("Retry-After")
+}
+
+// until repeats a request until it has the status.
+func (c *cluster) until(t *testing.T, i int, method, path, body string, want int, header ...string) string {
+	deadline := time.Now().Add(patient)
+	for {
+		status, text, _ := c.call(t, i, method, path, body, header...)
+		if status == want {
+			return text
+		}
+		if time.Now().After(deadline) {
+			require.Failf(t, "never came", "%s %s: want %d, last %d %s", method, path, want, status, text)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func submission(id string, cores float64) string {
+	return fmt.Sprintf(`{"id":%q,"jobclass":"batch","crew":"desk","shape":"batch","rank":"normal","loads":2,"cores":%v,
+"accelerators":0,"mem_gb":1,"kit":"i","size_gb":1,"together":false,"apart":false,"loaners":false,"runtime_s":5,"savepoint_s":0,"stash_s":0}`, id, cores)
+}
+
+// TestUsersAndWorkers walks a job through both controllers: accepted, launched
+// by a worker's report, done, and answered the same ever after.
+func TestUsersAndWorkers(t *testing.T) {
+	c := startCluster(t, "")
+	for body, want := range map[string]int{"nonsense": 400, "[]": 400, `{"id":"wk-1"}`: 400, submission("wk-1", 5): 422,
+		strings.Replace(submission("wk-1", 1), `"desk"`, `"nobody"`, 1): 422, strings.Repeat("x", wire.MaxBody+1): 413} {
+		c.until(t, 0, "POST", "/work", body, want)
+	}
+	c.until(t, 1, "GET", "/work/wk-1", "", 404)
+	c.until(t, 1, "POST", "/work/wk-1/cancel", "", 404)
+	c.until(t, 0, "POST", "/work", submission("wk-1", 1), 201)
+	for i := range c.addrs {
+		c.until(t, i, "POST", "/work", submission("wk-1", 1), 200)
+	}
+
+	// A worker reports and does as it is told: whatever is launched is done.
+	done := map[wire.TaskID]wire.TaskReport{}
+	r := wire.Report{Machine: "m-1", Addr: freeAddr(t), Type: "c4", Zone: "east", Shift: 1}
+	deadline := time.Now().Add(patient)
+	for status := ""; status != string(wire.StatusDone); {
+		require.True(t, time.Now().Before(deadline), "never done")
+		r.Tally++
+		r.Tasks = nil
+		for _, d := range done {
+			r.Tasks = append(r.Tasks, d)
+		}
+		b, err := json.Marshal(r)
+		require.NoError(t, err)
+		if code, text, _ := c.call(t, 0, "POST", "/hello", string(b)); code == 200 {
+			var a wire.ReportAnswer
+			require.NoError(t, json.Unmarshal([]byte(text), &a))
+			r.Baton = max(r.Baton, a.Baton)
+			for _, o := range a.Orders {
+				if o.Verb == wire.VerbLaunch {
+					done[o.Task] = wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskExited, Cause: wire.CauseDone}
+				}
+			}
+		}
+		var s wire.JobStatus
+		require.NoError(t, json.Unmarshal([]byte(c.until(t, 1, "GET", "/work/wk-1", "", 200)), &s))
+		status = string(s.Status)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Contains(t, c.until(t, 0, "POST", "/work/wk-1/cancel", "", 200), `"done"`)
+	require.Contains(t, c.until(t, 1, "POST", "/work", submission("wk-1", 1), 200), `"done"`)
+
+	// While the state service is away: known ends are answered, the rest is told
+	// at once when to come back.
+	c.state.Down.Store(true)
+	c.until(t, 0, "POST", "/work", submission("wk-2", 1), 503)
+	_, _, retry := c.call(t, 0, "POST", "/work", submission("wk-2", 1))
+	require.NotEmpty(t, retry)
+	require.Contains(t, c.until(t, 0, "GET", "/work/wk-1", "", 200), `"done"`)
+	c.state.Down.Store(false)
+	c.until(t, 0, "POST", "/work", submission("wk-2", 1), 201)
+	require.Contains(t, c.until(t, 1, "POST", "/work/wk-2/cancel", "", 200), `"withdrawn"`)
+	require.Contains(t, c.until(t, 0, "GET", "/work/wk-2", "", 200), `"withdrawn"`)
+}
+
+// TestAdministration reads and changes settings over the API and the command
+// line; a change applies on the other controller too.
+func TestAdministration(t *testing.T) {
+	c := startCluster(t, "secret")
+	path := admin.Prefix + "/settings"
+	c.until(t, 0, "GET", path, "", 401)
+	c.until(t, 0, "GET", path, "", 401, "Authorization", "Bearer wrong")
+	auth := []string{"Authorization", "Bearer secret"}
+	for _, v := range wire.AdminViews {
+		c.until(t, 0, "GET", admin.Prefix+"/"+string(v), "", 200, auth...)
+	}
+	c.until(t, 0, "GET", admin.Prefix+"/weather", "", 404, auth...)
+	require.Contains(t, c.until(t, 0, "PATCH", path, `{"version":0,"settings":{"spare_share":-1}}`, 400, auth...), "spare_share")
+	c.until(t, 0, "PATCH", path, `[]`, 400, auth...)
+	c.until(t, 0, "PATCH", path, `{"version":0,"settings":{"spare_share":0.5}}`, 200, auth...)
+	c.until(t, 0, "PATCH", path, `{"version":0,"settings":{"spare_share":0.7}}`, 409, auth...)
+	require.Contains(t, c.until(t, 1, "GET", path, "", 200, auth...), `"spare_share":0.5`)
+
+	command := func(args ...string) (string, error) {
+		var out bytes.Buffer
+		root := rootCommand()
+		root.SetOut(&out)
+		root.SetArgs(args)
+		err := root.Execute()
+		return out.String(), err
+	}
+	out, err := command("admin", "set", "--addr", c.addrs[1], "affinity=enforced", "idle_s=20")
+	require.NoError(t, err)
+	require.Contains(t, out, `"affinity": "enforced"`)
+	_, err = command("admin", "set", "--addr", c.addrs[1], "--version", "1", "idle_s=20")
+	require.ErrorContains(t, err, "stale")
+	_, err = command("admin", "set", "--addr", c.addrs[1], "idle_s=soon")
+	require.ErrorContains(t, err, "idle_s")
+	out, err = command("admin", "controllers", "--addr", c.addrs[0])
+	require.NoError(t, err)
+	require.Contains(t, out, "rig-1")
+	c.state.Down.Store(true)
+	c.until(t, 0, "GET", path, "", 503, auth...)
+	c.until(t, 0, "PATCH", path, `{"version":0,"settings":{}}`, 503, auth...)
+}
+
+// TestAdministrationIsOff: without a token the API says that it is off.
+func TestAdministrationIsOff(t *testing.T) {
+	c := startCluster(t, "")
+	require.Contains(t, c.until(t, 0, "GET", admin.Prefix+"/teams", "", 403), admin.TokenVariable)
+}
--- /dev/null
+++ b/internal/standin/http.go
@@ -0,0 +1,153 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lilacrill/internal/core"
+	"lilacrill/wire"
+)
+
+// StateServer serves a Store over HTTP on the real clock.
+type StateServer struct {
+	// Down makes every call answer 503, as in an outage.
+	Down atomic.Bool
+
+	mu      sync.Mutex
+	store   *Store
+	changed chan struct{}
+	start   time.Time
+}
+
+// NewStateServer makes a server with an empty store.
+func NewStateServer() *StateServer {
+	s := &StateServer{store: NewStore(), changed: make(chan struct{}), start: time.Now()}
+	s.store.OnChange = func() {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	return s
+}
+
+func (s *StateServer) now() core.Time { return core.Time(time.Since(s.start)) }
+
+// ServeHTTP implements http.Handler.
+func (s *StateServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Down.Load() {
+		answer(w, http.StatusServiceUnavailable, wire.Problem{Error: "down"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Expire(s.now())
+	q := r.URL.Query()
+	switch {
+	case r.URL.Path == "/follow":
+		s.follow(w, r)
+	case r.URL.Path == "/kv":
+		list := wire.EntryList{Entries: s.store.List(q.Get("under")), Ledger: s.store.Ledger()}
+		for len(list.Entries) > 0 && list.Entries[0].Key <= q.Get("after") {
+			list.Entries = list.Entries[1:]
+		}
+		if page, err := strconv.Atoi(q.Get("page")); err == nil && page < len(list.Entries) {
+			list.Entries, list.More = list.Entries[:page], true
+		}
+		answer(w, http.StatusOK, list)
+	case strings.HasPrefix(r.URL.Path, "/kv/"):
+		key := strings.TrimPrefix(r.URL.Path, "/kv/")
+		if v, stamp, ok := s.store.Get(key); ok {
+			answer(w, http.StatusOK, wire.Entry{Key: key, Value: v, Stamp: stamp})
+		} else {
+			answer(w, http.StatusNotFound, wire.TransactionAnswer{Ledger: s.store.Ledger()})
+		}
+	case r.URL.Path == "/multi":
+		var t wire.Transaction
+		if json.NewDecoder(r.Body).Decode(&t) != nil {
+			answer(w, http.StatusBadRequest, wire.Problem{Error: "malformed"})
+			return
+		}
+		switch c := s.store.Multi(t); c.Outcome {
+		case core.Done:
+			answer(w, http.StatusOK, wire.TransactionAnswer{Ledger: c.Ledger})
+		case core.Conflict:
+			answer(w, http.StatusConflict, wire.TransactionAnswer{Ledger: c.Ledger, Failed: c.Failed})
+		default:
+			answer(w, http.StatusBadRequest, wire.Problem{Error: "no such lease"})
+		}
+	case r.URL.Path == "/leases":
+		var body struct {
+			TTL int64 `json:"ttl_ms"`
+		}
+		if json.NewDecoder(r.Body).Decode(&body) != nil || body.TTL < 100 {
+			answer(w, http.StatusBadRequest, wire.Problem{Error: "malformed"})
+			return
+		}
+		answer(w, http.StatusOK, map[string]wire.Permit{"permit": s.store.Grant(s.now(), core.Time(time.Duration(body.TTL)*time.Millisecond))})
+	case strings.HasSuffix(r.URL.Path, "/extend"):
+		id, _ := strconv.ParseUint(strings.TrimSuffix(strings.TrimPrefix(r.URL.Path, "/leases/"), "/extend"), 10, 64)
+		if s.store.Extend(s.now(), wire.Permit(id)) {
+			answer(w, http.StatusOK, map[string]wire.Permit{"permit": wire.Permit(id)})
+		} else {
+			answer(w, http.StatusNotFound, wire.Problem{Error: "no such lease"})
+		}
+	default:
+		answer(w, http.StatusBadRequest, wire.Problem{Error: "malformed"})
+	}
+}
+
+// follow is called, and returns, with the lock held.
+func (s *StateServer) follow(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	block, _ := strconv.ParseInt(q.Get("block_ms"), 10, 64)
+	timer := time.NewTimer(time.Duration(block) * time.Millisecond)
+	defer timer.Stop()
+	for waiting := true; waiting; {
+		if f := s.store.Feed(q.Get("under"), wire.Ledger(after)); len(f.Log) > 0 {
+			break
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			waiting = false
+		case <-r.Context().Done():
+			waiting = false
+		}
+		s.mu.Lock()
+	}
+	answer(w, http.StatusOK, s.store.Feed(q.Get("under"), wire.Ledger(after)))
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(b) // the client may be gone; a stand-in does not mind
+}
+
+// CloudServer is a cloud over HTTP with a catalogue and no machine to rent.
+type CloudServer struct{ Types []wire.MachineType }
+
+// ServeHTTP implements http.Handler.
+func (s CloudServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/catalog":
+		answer(w, http.StatusOK, wire.Catalogue{Types: s.Types})
+	case r.URL.Path == "/hosts" && r.Method == http.MethodGet:
+		answer(w, http.StatusOK, wire.MachineList{Machines: []wire.ListedMachine{}})
+	case r.URL.Path == "/hosts":
+		answer(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
+	default:
+		answer(w, http.StatusOK, struct{}{})
+	}
+}
