--- a/cmd/lilacrill/engine.go
+++ b/cmd/lilacrill/engine.go
@@ -192,7 +192,7 @@
 	case core.Extend:
 		e.state.Extend(o, back[core.Granted](e, o.Call))
 	case core.Share:
-		e.state.Share(o.Controllers)
+		e.state.Share(o.Part)
 	case core.ReadCatalogue:
 		e.cloud.Catalogue(back[core.CatalogueRead](e, o.Call))
 	case core.ListMachines:
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -36,7 +36,6 @@
 		c.unavailable(in.Request, "starting")
 		return
 	}
-	c.reindex()
 	var body any
 	switch in.View {
 	case wire.ViewControllers:
@@ -168,9 +167,7 @@
 		}
 		v := wire.AdminMachine{ID: id, Type: m.kind, Zone: m.zone, Spot: m.spot, Status: m.status,
 			SilentS: c.now.Sub(c.lastSign(m)).Seconds(), Faulty: !c.after(m.badUntil), Reserved: m.reserved, Recalled: m.recallAt != 0}
-		if d, doomed := c.dooms[id]; doomed && !d.Over {
-			v.Doomed = d.Why
-		}
+		v.Doomed = c.dooms[id].why
 		for _, e := range c.onMachine[id] {
 			v.Tasks += e.Tasks.Len()
 		}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -33,8 +33,13 @@
 	nextBuy   Time
 	refused   map[capacity.Key]refusal
 	returning bool
-	dooming   map[wire.MachineID]bool
-	silentAt  []Time // when machines were given up for their silence
+	returned  map[wire.MachineID]bool   // asked to be returned, so not to be kept
+	dooming   map[wire.MachineID]string // to be written down as going, and why
+	doomCall  bool                      // the list of them is being written
+	nextDoom  Time
+	nextSpoil Time
+	toldCloud map[wire.MachineID]wire.MachineStatus // as the siblings were told
+	silentAt  []Time                                // when machines were given up for their silence
 }
 
 // refusal is an offer that the cloud had no machine for.
@@ -61,13 +66,16 @@
 
 func (v *cloudView) init() {
 	v.refused = map[capacity.Key]refusal{}
-	v.dooming = map[wire.MachineID]bool{}
+	v.dooming = map[wire.MachineID]string{}
+	v.returned = map[wire.MachineID]bool{}
 }
 
 const (
 	catalogueEvery = time.Minute
 	listEvery      = 2 * time.Second
 	buyEvery       = 300 * time.Millisecond
+	spoilEvery     = 200 * time.Millisecond
+	doomEvery      = 300 * time.Millisecond
 	claimPatience  = 3 * time.Second
 	refusalPause   = 5 * time.Second // doubled with every refusal in a row
 	refusalMost    = 40 * time.Second
@@ -77,6 +85,9 @@
 	silentPart     = 4 // and at least every fourth of those that report
 )
 
+// whyIdle is why machines are returned that nothing stands on.
+const whyIdle = "idle"
+
 func (c *Core) kind(name string) *wire.MachineType {
 	for i := range c.catalogue {
 		if c.catalogue[i].Name == name {
@@ -101,7 +112,11 @@
 	if !c.listing && c.after(c.nextList) {
 		c.list()
 	}
-	c.spoil()
+	if c.after(c.nextSpoil) {
+		c.nextSpoil = c.now.Add(spoilEvery)
+		c.spoil()
+	}
+	c.writeDoom()
 	c.giveBack()
 	c.noteImages()
 	if c.after(c.nextBuy) {
@@ -165,10 +180,29 @@
 		}
 		c.lists++
 		c.listed(r.Machines)
-		c.do(Tell{&wire.PeerLine{From: c.set.Label, Cloud: r.Machines}})
+		// A list of several pages takes as many calls, which hires need as well.
+		c.nextList = max(c.nextList, c.now.Add(listEvery*time.Duration(len(r.Machines)/wire.MaxList)))
+		c.tellList(r.Machines)
 	})})
 }
 
+// tellList passes on what is new in the list: most of it never changes.
+func (c *Core) tellList(list []wire.ListedMachine) {
+	told := make(map[wire.MachineID]wire.MachineStatus, len(list))
+	var news []wire.ListedMachine
+	for i := range list {
+		l := &list[i]
+		told[l.ID] = l.Status
+		if c.toldCloud[l.ID] != l.Status {
+			news = append(news, *l)
+		}
+	}
+	c.toldCloud = told
+	if len(news) > 0 {
+		c.do(Tell{&wire.PeerLine{From: c.set.Label, Cloud: news}})
+	}
+}
+
 // listed takes a machine list. It lags, so absence from it proves nothing.
 func (c *Core) listed(list []wire.ListedMachine) {
 	for _, l := range list {
@@ -190,7 +224,7 @@
 	if t == nil || m.newest != nil || m.gone || m.status == wire.MachineFailed {
 		return false
 	}
-	if d, doomed := c.dooms[m.id]; doomed && !d.Over {
+	if _, going := c.dooms[m.id]; going {
 		return false
 	}
 	return c.now.Sub(m.born) < config.Seconds(1.8*t.StartupS)+3*time.Second
@@ -206,7 +240,7 @@
 	for _, s := range c.spares() {
 		left := s.Count
 		for _, ch := range fleet.Choose(s.Request, s.Count, "", placement.Options{
-			Relax: true, Usable: func(h *placement.Host) bool { return c.usable(c.machines[h.ID]) },
+			Relax: true,
 		}) {
 			left -= ch.Count
 			c.machines[ch.Machine].reserved = true
@@ -347,8 +381,7 @@
 
 // spoil finds machines that should go: dead, silent, never up, or idle.
 func (c *Core) spoil() {
-	c.reindex()
-	for _, id := range sortedKeys(c.onMachine) {
+	for id := range c.onMachine {
 		c.machineOf(id) // one that neither reports nor is listed is silent too
 	}
 	silence, idle := config.Seconds(c.chosen.SilenceS), config.Seconds(c.chosen.IdleS)
@@ -366,7 +399,7 @@
 	cutOff := silent > 2 && 3*silent > reporting && !c.siblingsWell()
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
-		if _, doomed := c.dooms[id]; m.gone || c.dooming[id] || doomed && !c.dooms[id].Over {
+		if _, going := c.dooms[id]; m.gone || c.dooming[id] != "" || going {
 			continue
 		}
 		quiet := c.now.Sub(c.lastSign(m))
@@ -379,17 +412,22 @@
 		t := c.kind(m.kind)
 		switch {
 		case m.status == wire.MachineFailed:
-			c.doom(m, "failed")
+			c.toDoom(m, "failed")
 		case m.newest == nil && m.status != wire.MachineRunning && !busy:
 			if t != nil && c.now.Sub(m.born) > config.Seconds(4*t.StartupS)+10*time.Second {
-				c.doom(m, "never came up")
+				c.toDoom(m, "never came up")
 			}
 		case quiet > silence && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
 			if c.mayGiveUp(reporting) {
-				c.doom(m, "silent")
+				c.toDoom(m, "silent")
+			}
+		case m.deaf() && !c.unheard && !cutOff && c.now.Sub(m.deafSince) > config.Seconds(c.set.Cluster.Workers.LeaseS/2):
+			// Its reports come, but it hears nothing: its lease runs out unseen.
+			if c.mayGiveUp(reporting) {
+				c.toDoom(m, "unreachable")
 			}
 		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idle && c.lacking == 0 && len(c.backlog) == 0:
-			c.doom(m, "idle")
+			c.toDoom(m, whyIdle)
 		}
 	}
 }
@@ -417,16 +455,75 @@
 	return true
 }
 
-// doom writes down that a machine is to be returned. Placements demand that
-// this record is as they saw it, so none can slip in unseen.
-func (c *Core) doom(m *machine, why string) {
-	c.dooming[m.id] = true
-	c.commit(ClassRest, wire.Transaction{
-		Then: []wire.Change{put(doomKey(m.id), doomRecord{Why: why})},
+// toDoom notes that a machine is to be returned; it is written down with the
+// others of the moment.
+func (c *Core) toDoom(m *machine, why string) {
+	c.dooming[m.id] = why
+	c.log.Info("machine to be returned", "machine", m.id, "why", why, "quiet", c.now.Sub(c.lastSign(m)), "unanswered", m.unanswered)
+}
+
+// writeDoom writes down which machines are going and which are gone. Placements
+// demand that this record is as they saw it, so none can slip in unseen.
+func (c *Core) writeDoom() {
+	if c.doomCall || !c.after(c.nextDoom) {
+		return
+	}
+	next := doomRecord{Going: map[string][]wire.MachineID{}}
+	changed := len(c.dooming) > 0
+	room := c.pageLimit() - len(`{"going":{},"gone":[]}`)
+	keep := func(list []wire.MachineID, id wire.MachineID) []wire.MachineID {
+		room -= len(id) + len(`"",`)
+		return append(list, id)
+	}
+	for _, id := range sortedKeys(c.dooms) {
+		d := c.dooms[id]
+		switch m := c.machineOf(id); {
+		case m.gone:
+			changed = true
+			if len(c.onMachine[id]) > 0 {
+				next.Gone = keep(next.Gone, id)
+			}
+		case d.why == whyIdle && len(c.onMachine[id]) > 0 && !c.returned[id]:
+			changed = true // it got work before its end was written down: keep it
+		default:
+			next.Going[d.why] = keep(next.Going[d.why], id)
+		}
+	}
+	for _, id := range c.doom.Gone {
+		if len(c.onMachine[id]) == 0 {
+			changed = true
+		} else {
+			next.Gone = keep(next.Gone, id)
+		}
+	}
+	if !changed {
+		return
+	}
+	taken := make([]wire.MachineID, 0, len(c.dooming))
+	for _, id := range sortedKeys(c.dooming) {
+		why := c.dooming[id]
+		if next.Going[why] == nil {
+			room -= len(why) + len(`"":[],`)
+		}
+		if room > 0 && c.machineOf(id) != nil {
+			next.Going[why] = keep(next.Going[why], id)
+			taken = append(taken, id)
+		}
+	}
+	c.doomCall = true
+	c.nextDoom = c.now.Add(doomEvery)
+	c.commit(ClassAccept, wire.Transaction{
+		If:   []wire.Condition{{Key: doomKey, Stamp: c.ver[doomKey]}},
+		Then: []wire.Change{put(doomKey, next)},
 	}, func(r Committed) {
-		delete(c.dooming, m.id)
-		if r.Outcome == Done {
-			c.log.Info("machine to be returned", "machine", m.id, "why", why, "quiet", c.now.Sub(c.lastSign(m)))
+		c.doomCall = false
+		if r.Outcome != NotDone {
+			for _, id := range taken {
+				delete(c.dooming, id)
+			}
+		}
+		if r.Outcome != Done {
+			c.barrier(func(bool) {})
 		}
 	})
 }
@@ -437,30 +534,15 @@
 	if c.returning {
 		return
 	}
-	c.reindex()
 	var names []wire.MachineID
-	var txn wire.Transaction
 	for _, id := range sortedKeys(c.dooms) {
-		d, key := c.dooms[id], doomKey(id)
-		if d.Over || c.dooming[id] || c.ver[key] > c.feed {
+		d := c.dooms[id]
+		if m := c.machineOf(id); m.gone || d.since > c.feed || len(names) == wire.MaxReturn ||
+			d.why == whyIdle && len(c.onMachine[id]) > 0 && !c.returned[id] {
 			continue
 		}
-		m := c.machineOf(id)
-		switch {
-		case m.gone && len(c.onMachine[id]) == 0:
-			if len(txn.Then) < c.set.Cluster.State.TxnOps {
-				txn.If = append(txn.If, wire.Condition{Key: key, Stamp: c.ver[key]})
-				txn.Then = append(txn.Then, wire.Change{Drop: key})
-			}
-		case m.gone:
-		case d.Why == "idle" && len(c.onMachine[id]) > 0:
-			c.spare(id)
-		case len(names) < wire.MaxReturn:
-			names = append(names, id)
-		}
-	}
-	if len(txn.Then) > 0 {
-		c.commit(ClassRest, txn, func(Committed) {})
+		names = append(names, id)
+		c.returned[id] = true
 	}
 	if len(names) == 0 {
 		return
@@ -475,17 +557,8 @@
 		for _, id := range names {
 			m := c.machineOf(id)
 			m.gone, m.goneAt, c.dirty = true, c.now, true
-			c.count(countReturned+c.dooms[id].Why, 1)
+			c.count(countReturned+c.dooms[id].why, 1)
+			delete(c.returned, id)
 		}
 	}), names})
 }
-
-// spare keeps an idle machine that got work before its end was written down.
-func (c *Core) spare(id wire.MachineID) {
-	c.dooming[id] = true
-	key := doomKey(id)
-	c.commit(ClassRest, wire.Transaction{
-		If:   []wire.Condition{{Key: key, Stamp: c.ver[key]}},
-		Then: []wire.Change{put(key, doomRecord{Why: c.dooms[id].Why, Over: true})},
-	}, func(Committed) { delete(c.dooming, id) })
-}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lilacrill/internal/config"
@@ -35,6 +36,9 @@
 	peers map[string]*peerView
 
 	nextBeat Time
+	nextTell Time
+	tellAll  bool // a sibling is new: tell it all that was heard
+	toTell   map[wire.MachineID]bool
 }
 
 // New makes a controller that has just started.
@@ -45,6 +49,8 @@
 		rand:  rand.New(rand.NewPCG(seed, 0x6c696c61)),
 		calls: map[CallID]func(any){},
 		peers: map[string]*peerView{},
+
+		toTell: map[wire.MachineID]bool{},
 	}
 	c.store.init()
 	c.fleet.init()
@@ -113,10 +119,7 @@
 	if !c.ready {
 		return
 	}
-	if c.after(c.nextBeat) {
-		c.nextBeat = c.now.Add(beatEvery)
-		c.beat()
-	}
+	c.beat()
 	c.tickFleet()
 	c.tickCloud()
 	c.tickGarbage()
@@ -131,13 +134,60 @@
 const (
 	// beatEvery is how often siblings tell one another that they are well.
 	beatEvery = time.Second
+	// tellEvery is how often siblings are told what workers reported.
+	tellEvery      = 200 * time.Millisecond
+	reportsPerLine = 100
 	// stateSilence is how long the state service may be silent before a
 	// controller doubts its own view.
 	stateSilence = 2 * time.Second
 )
 
+// beat tells the siblings what was heard since the last time; if nothing was,
+// from time to time only that this controller lives.
 func (c *Core) beat() {
-	c.do(Tell{&wire.PeerLine{From: c.set.Label, StateFresh: c.stateFresh()}})
+	if !c.after(c.nextTell) {
+		return
+	}
+	c.nextTell = c.now.Add(tellEvery)
+	line := &wire.PeerLine{From: c.set.Label, StateFresh: c.stateFresh()}
+	if c.tellAll {
+		c.tellAll = false
+		for id, m := range c.machines {
+			if m.direct != nil && c.now.Sub(m.heardDirect) < forgetAfter && !m.gone {
+				c.toTell[id] = true
+			}
+			m.told = nil
+		}
+		c.toldCloud = nil
+	}
+	for _, id := range sortedKeys(c.toTell) {
+		m := c.machines[id]
+		if m == nil || m.direct == nil {
+			continue
+		}
+		r := m.direct
+		if m.told != nil && sameReport(m.told, r) {
+			line.Heard = append(line.Heard, wire.Heard{Machine: id, Shift: r.Shift, Tally: r.Tally, Baton: r.Baton})
+		} else {
+			line.Reports = append(line.Reports, r)
+		}
+		m.told = r
+		if len(line.Reports) == reportsPerLine {
+			c.do(Tell{line})
+			line = &wire.PeerLine{From: c.set.Label, StateFresh: c.stateFresh()}
+		}
+	}
+	clear(c.toTell)
+	if len(line.Reports) > 0 || len(line.Heard) > 0 || c.after(c.nextBeat) {
+		c.nextBeat = c.now.Add(beatEvery)
+		c.do(Tell{line})
+	}
+}
+
+// sameReport reports whether nothing changed between two reports of a machine
+// but their number and the baton.
+func sameReport(a, b *wire.Report) bool {
+	return a.Shift == b.Shift && a.RecallS == nil && b.RecallS == nil && a.Addr == b.Addr && slices.Equal(a.Tasks, b.Tasks)
 }
 
 func (c *Core) stateFresh() bool { return c.now.Sub(c.stateOK) < stateSilence }
@@ -160,19 +210,27 @@
 	}
 	p := c.peers[l.From]
 	if p == nil {
-		p = &peerView{}
+		p = &peerView{heard: -Time(peerSilence) - 1}
 		c.peers[l.From] = p
 	}
-	switch {
-	case l.Report != nil:
-		c.hear(l.Report, false)
-	case l.Cloud != nil:
+	for _, r := range l.Reports {
+		c.hear(r, false)
+	}
+	for i := range l.Heard {
+		c.heardAgain(&l.Heard[i])
+	}
+	if len(l.Cloud) > 0 {
 		c.listed(l.Cloud)
-	default:
-		p.heard, p.fresh = c.now, l.StateFresh
 	}
+	if c.now.Sub(p.heard) > peerSilence {
+		c.tellAll = true // it may be new, or have missed much
+	}
+	p.heard, p.fresh = c.now, l.StateFresh
 }
 
+// peerSilence is how long a sibling may say nothing before it counts as lost.
+const peerSilence = 3 * beatEvery
+
 func (c *Core) sibling(label string) bool {
 	for _, s := range c.set.Siblings {
 		if s.Label == label {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -1,9 +1,13 @@
 package core
 
 import (
+	"cmp"
 	"encoding/json"
+	"hash/fnv"
+	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"lilacrill/internal/config"
@@ -15,6 +19,11 @@
 type fleet struct {
 	machines    map[wire.MachineID]*machine
 	imagesNoted map[wire.MachineID][]string // as the state service has them
+	imageShards map[int]map[wire.MachineID][]string
+	nextShard   int
+	labelSets   map[machineKind]placement.Tags
+	unheard     bool // most machines leave our calls unanswered: it is us, not them
+	asking      int  // machines that are being asked for their report
 	noting      bool
 	lastDirect  Time // when a worker last spoke to this controller itself
 	nextSound   Time
@@ -30,6 +39,14 @@
 func (f *fleet) init() {
 	f.machines = map[wire.MachineID]*machine{}
 	f.imagesNoted = map[wire.MachineID][]string{}
+	f.imageShards = map[int]map[wire.MachineID][]string{}
+	f.labelSets = map[machineKind]placement.Tags{}
+}
+
+// machineKind is what the labels of a machine say.
+type machineKind struct {
+	kind, zone string
+	spot       bool
 }
 
 // machine is one machine as reported by its worker and listed by the cloud.
@@ -53,6 +70,13 @@
 	recallAt       Time // when the cloud takes it, if newest has a notice
 
 	images map[string]Time // images it has, and when they were last seen in use
+	has    map[string]bool // the same, as placement reads it
+
+	pulling int // images that it is fetching
+
+	told       *wire.Report // what the siblings were last told of it
+	unanswered int          // direct calls without an answer since the last that had one, whatever it reports
+	deafSince  Time         // when the first of them was made
 
 	pushing  bool
 	again    bool // something new came up while pushing
@@ -90,6 +114,7 @@
 			id:        id,
 			first:     c.now,
 			images:    map[string]Time{},
+			has:       map[string]bool{},
 			faults:    map[wire.JobID]Time{},
 			uncleared: map[attemptKey]wire.Ledger{},
 			strays:    map[attemptKey]Time{},
@@ -117,8 +142,41 @@
 func (c *Core) lastSign(m *machine) Time { return max(m.heard, m.first, c.readyAt) }
 
 // silentAsk is how long a worker may be silent before it is asked: its reports
-// come every so often, give or take a quarter.
-func (c *Core) silentAsk() time.Duration { return config.Seconds(1.3 * c.set.Cluster.Workers.ReportS) }
+// come every so often, give or take a quarter. Where tasks stand that somebody
+// waits for at every moment, reports may be too far apart to wait for the next.
+func (c *Core) silentAsk(m *machine) time.Duration {
+	usual := config.Seconds(1.3 * c.set.Cluster.Workers.ReportS)
+	if c.pressing(m) {
+		return min(usual, pressingAsk)
+	}
+	return usual
+}
+
+// pressing reports whether critical tasks stand on a machine.
+func (c *Core) pressing(m *machine) bool {
+	for _, e := range c.onMachine[m.id] {
+		if e.Rank == wire.RankCritical.Order() {
+			return true
+		}
+	}
+	return false
+}
+
+// asks reports whether it is up to this controller to ask a machine: one of the
+// living does, by the machine's name, and the buyer a little later, since it
+// must know for itself.
+func (c *Core) asks(m *machine, quiet time.Duration) bool {
+	if c.buyer == c.boot && quiet > c.silentAsk(m)+buyerAsk {
+		return true
+	}
+	return len(c.labels) == 0 || highest(c.labels, string(m.id)) == c.set.Label
+}
+
+const (
+	pressingAsk = 2500 * time.Millisecond
+	buyerAsk    = 500 * time.Millisecond
+	asksAtOnce  = 64
+)
 
 // tasksOf is a report's tasks. A machine may list an ended attempt beside
 // another one of the same task, so the task alone does not name them.
@@ -137,6 +195,9 @@
 	if direct {
 		c.lastDirect = c.now
 	}
+	if direct {
+		c.toTell[m.id] = true
+	}
 	if direct && (m.direct == nil || r.Newer(m.direct)) {
 		m.direct, m.directTasks, m.heardDirect = r, tasksOf(r), c.now
 		for key, since := range m.lacking {
@@ -158,7 +219,11 @@
 		m.recallAt = c.now.Add(time.Duration(*r.RecallS * float64(time.Second)))
 	}
 	c.dirty = true
+	pulling := map[string]bool{}
 	for id, t := range m.tasks {
+		if j := c.jobs[id.task.Job]; j != nil && t.State == wire.TaskPulling {
+			pulling[j.spec.Image] = true
+		}
 		if j := c.jobs[id.task.Job]; j != nil && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
 			c.sawImage(m, j.spec.Image)
 			if !j.started {
@@ -171,20 +236,35 @@
 			c.noteExit(m, t)
 		}
 	}
+	m.pulling = len(pulling)
 	if !direct && c.ready {
 		c.confirm(m)
 	}
 }
 
+// heardAgain takes a sibling's word that a machine reported what it had
+// reported before.
+func (c *Core) heardAgain(h *wire.Heard) {
+	m := c.machines[h.Machine]
+	if m == nil || m.newest == nil || m.newest.Shift != h.Shift || m.newest.Tally >= h.Tally {
+		return
+	}
+	r := *m.newest
+	r.Tally, r.Baton = h.Tally, h.Baton
+	m.newest, m.heard, m.shows = &r, c.now, 0
+	if c.ready {
+		c.confirm(m)
+	}
+}
+
 // confirm asks a machine itself when a passed-on report hints at something that
 // this controller, as a steward, should write down: hints prove nothing.
 func (c *Core) confirm(m *machine) {
-	if m.showing || m.direct == m.newest {
+	if m.showing || m.direct == m.newest || !c.after(m.showAt) {
 		return
 	}
-	c.reindex()
 	for _, e := range c.onMachine[m.id] {
-		if !c.mine(e.team) {
+		if !c.mine(e.page.team) {
 			continue
 		}
 		for i := range e.Tasks.All {
@@ -202,15 +282,40 @@
 func (c *Core) show(m *machine) {
 	m.showing = true
 	m.showAt = c.now.Add(showRetry)
+	c.asking++
+	asked := c.now
 	c.do(Show{call(c, func(a Answered) {
 		m.showing = false
+		c.asking--
 		if a.Report == nil {
 			m.shows++
 		}
+		c.reached(m, asked, a)
 		c.answered(m, a)
 	}), m.addr})
 }
 
+// reached notes whether a worker answers what it is asked. One whose reports
+// arrive, but which nothing reaches, looks well while its lease runs out.
+func (c *Core) reached(m *machine, asked Time, a Answered) {
+	if a.Report != nil {
+		m.unanswered = 0
+		return
+	}
+	if m.unanswered == 0 {
+		m.deafSince = asked
+	}
+	m.unanswered++
+}
+
+// deaf reports whether a machine seems not to hear what it is told: it gets
+// no new work.
+func (m *machine) deaf() bool { return m.unanswered >= deafCalls }
+
+// deafCalls is how many direct calls in a row a machine may leave unanswered
+// before it counts as one that does not hear.
+const deafCalls = 2
+
 const (
 	avoidFull    = 3 * time.Second
 	avoidFaulty  = 2 * time.Minute
@@ -254,24 +359,33 @@
 			}
 		}
 		delete(m.images, oldest)
+		delete(m.has, oldest)
 	}
-	m.images[image] = c.now
+	m.images[image], m.has[image] = c.now, true
 }
 
-// applyImages takes over what was noted of a machine's images, so that a
+// applyImages takes over what was noted of machines' images, so that a
 // controller that has just started knows them too.
-func (c *Core) applyImages(id wire.MachineID, value json.RawMessage) error {
-	delete(c.imagesNoted, id)
-	if value == nil {
-		return nil
-	}
-	var images []string
-	if err := json.Unmarshal(value, &images); err != nil {
+func (c *Core) applyImages(shard string, value json.RawMessage) error {
+	n, err := strconv.Atoi(shard)
+	if err != nil {
 		return err
 	}
-	c.imagesNoted[id] = images
-	if m := c.machines[id]; m != nil {
-		c.recallImages(m)
+	var noted map[wire.MachineID][]string
+	if value != nil {
+		if err := json.Unmarshal(value, &noted); err != nil {
+			return err
+		}
+	}
+	for id := range c.imageShards[n] {
+		delete(c.imagesNoted, id)
+	}
+	c.imageShards[n] = noted
+	for id, images := range noted {
+		c.imagesNoted[id] = images
+		if m := c.machines[id]; m != nil {
+			c.recallImages(m)
+		}
 	}
 	return nil
 }
@@ -279,41 +393,52 @@
 func (c *Core) recallImages(m *machine) {
 	for _, image := range c.imagesNoted[m.id] {
 		if _, ok := m.images[image]; !ok && len(m.images) < maxImages {
-			m.images[image] = 0
+			m.images[image], m.has[image] = 0, true
 		}
 	}
 }
 
-// noteImages writes down which images machines have, some at a time, and drops
-// the notes on machines that are gone. It is the buyer's task, since it knows
-// all machines.
+// noteImages writes down which images machines have, a number of machines to a
+// record and one record at a time. It is the buyer's task, since it knows all
+// machines.
 func (c *Core) noteImages() {
-	if c.noting || !c.after(c.nextNote) {
+	if c.noting || !c.after(c.nextNote) || !c.affords() {
 		return
 	}
 	c.nextNote = c.now.Add(noteEvery)
-	var txn wire.Transaction
+	c.nextShard = (c.nextShard + 1) % imageShards
+	shard := c.nextShard
+	noted, size := map[wire.MachineID][]string{}, 0
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
-		images := sortedKeys(m.images)
-		if m.newest == nil || m.gone || slices.Equal(images, c.imagesNoted[id]) {
+		if m.newest == nil || m.gone || shardOf(id) != shard || len(m.images) == 0 {
 			continue
 		}
-		txn.Then = append(txn.Then, put(imagePrefix+string(id), images))
-		if len(txn.Then) == notesAtOnce {
-			break
+		images := sortedKeys(m.images)
+		slices.SortStableFunc(images, func(a, b string) int { return -cmp.Compare(m.images[a], m.images[b]) })
+		images = images[:min(len(images), notedImages)]
+		slices.Sort(images)
+		size += len(id) + len(`"":[],`)
+		for _, image := range images {
+			size += len(image) + len(`"",`)
 		}
-	}
-	for _, id := range sortedKeys(c.imagesNoted) {
-		if m := c.machines[id]; (m == nil || m.gone) && len(txn.Then) < notesAtOnce && c.now.Sub(c.readyAt) > forgetAfter {
-			txn.Then = append(txn.Then, wire.Change{Drop: imagePrefix + string(id)})
+		if size > c.pageLimit() {
+			break // the rest is learnt from what they run
 		}
+		noted[id] = images
 	}
-	if len(txn.Then) == 0 {
+	if maps.EqualFunc(noted, c.imageShards[shard], slices.Equal[[]string]) {
 		return
 	}
 	c.noting = true
-	c.commit(ClassRest, txn, func(Committed) { c.noting = false })
+	c.commit(ClassRest, wire.Transaction{Then: []wire.Change{put(imageKey(shard), noted)}}, func(Committed) { c.noting = false })
+}
+
+// shardOf is the record that notes a machine's images.
+func shardOf(id wire.MachineID) int {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return int(h.Sum32() % imageShards)
 }
 
 // judge calls a machine bad when jobs fail on it that do not fail elsewhere.
@@ -365,14 +490,18 @@
 }
 
 func (c *Core) answerWorker(in Reported) {
+	m := c.machineOf(in.Report.Machine)
+	came := m.direct == nil || c.now.Sub(m.heardDirect) > config.Seconds(2*c.set.Cluster.Workers.ReportS)
 	c.hear(in.Report, true)
-	c.do(Tell{&wire.PeerLine{From: c.set.Label, Report: in.Report}})
-	m := c.machines[in.Report.Machine]
+	if came && !m.showing && !m.gone && c.asking < asksAtOnce {
+		// It may have come because nothing reaches it, or this may be a late copy
+		// of a report that it sent long ago.
+		c.show(m)
+	}
 	var orders []wire.Order
 	// A report that is older than one we know was held up on its way: orders
 	// that follow from it could repeat what is over.
 	if m.newest == in.Report {
-		c.reindex()
 		orders = append(c.ordersFor(m), c.clears(m)...)
 	}
 	c.reply(in.Request, http.StatusOK, wire.ReportAnswer{Baton: c.baton, Orders: orders})
@@ -495,7 +624,6 @@
 		}
 		return
 	}
-	c.reindex()
 	for _, key := range keys {
 		if _, open := m.uncleared[key]; !open {
 			continue
@@ -516,7 +644,8 @@
 	sweepClears = 45 * time.Second
 	manyClears  = 40
 	noteEvery   = time.Second
-	notesAtOnce = 4
+	imageShards = 24
+	notedImages = 6  // of one machine, those seen in use last
 	maxImages   = 40 // remembered of one machine
 )
 
@@ -530,15 +659,16 @@
 		c.barrier(func(bool) {})
 		return false
 	}
-	c.reindex()
 	orders := c.ordersFor(m)
 	if len(orders) == 0 {
 		return false
 	}
 	m.pushing = true
 	m.pushAt = c.now.Add(pushRetry)
+	asked := c.now
 	c.do(Order{call(c, func(a Answered) {
 		m.pushing = false
+		c.reached(m, asked, a)
 		c.answered(m, a)
 		if m.again {
 			c.pushNow(m)
@@ -564,14 +694,12 @@
 		return
 	}
 	c.hear(a.Report, true)
-	c.do(Tell{&wire.PeerLine{From: c.set.Label, Report: a.Report}})
 	if a.Report.Baton > c.baton {
 		c.barrier(func(bool) {})
 	}
 }
 
 func (c *Core) pushJob(id wire.JobID) {
-	c.reindex()
 	for _, e := range c.ofJob[id] {
 		if m := c.machines[e.Machine]; m != nil {
 			c.pushNow(m)
@@ -593,9 +721,9 @@
 		return
 	}
 	c.nextLook = c.now.Add(200 * time.Millisecond)
-	c.reindex()
 	c.sound()
 	uncleared, oldest := 0, false
+	deaf, reporting := 0, 0
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
 		if m.gone || c.now.Sub(c.lastSign(m)) > forgetAfter && c.now.Sub(m.listed) > forgetAfter {
@@ -606,19 +734,31 @@
 		}
 		uncleared = max(uncleared, len(m.uncleared))
 		oldest = oldest || len(m.uncleared) > 0
-		for _, e := range c.onMachine[id] {
-			if e.Launcher == c.boot && e.Halt == HaltNo && c.now.Sub(m.heard) < c.silentAsk() {
-				if c.push(m) {
-					c.count(countResent, 1)
+		quiet := c.now.Sub(c.lastSign(m))
+		if m.newest != nil && quiet < forgetAfter {
+			reporting++
+			if m.deaf() {
+				deaf++
+			}
+		}
+		if c.after(m.pushAt) && quiet < c.silentAsk(m) {
+			for _, e := range c.onMachine[id] {
+				if e.Launcher == c.boot && e.Halt == HaltNo {
+					if c.push(m) {
+						c.count(countResent, 1)
+					}
+					break
 				}
-				break
 			}
 		}
-		// Ask a silent worker itself: it may have lost its way to us.
-		if c.now.Sub(c.lastSign(m)) > c.silentAsk() && m.addr != "" && m.status != wire.MachineBooting && !m.showing && c.after(m.showAt) {
+		// Ask a silent worker itself: it may have lost its way to us. So is one
+		// that left a call unanswered, though its reports go on.
+		if m.addr != "" && m.status != wire.MachineBooting && !m.showing && c.after(m.showAt) && c.asking < asksAtOnce &&
+			(m.unanswered > 0 || quiet > c.silentAsk(m) && c.asks(m, quiet)) {
 			c.show(m)
 		}
 	}
+	c.unheard = deaf > 2 && 3*deaf > reporting
 	if uncleared > manyClears || oldest && c.now.Sub(c.lastBump) > sweepClears {
 		c.raiseBaton()
 	}
@@ -665,6 +805,17 @@
 	}, func(Committed) { c.barrier(func(bool) {}) })
 }
 
+// labelsOf is a machine's labels; all of a kind share them.
+func (c *Core) labelsOf(m *machine) placement.Tags {
+	k := machineKind{m.kind, m.zone, m.spot}
+	tags := c.labelSets[k]
+	if tags == nil {
+		tags = labels(m.kind, m.zone, m.spot)
+		c.labelSets[k] = tags
+	}
+	return tags
+}
+
 func labels(kind, zone string, spot bool) placement.Tags {
 	s := "false"
 	if spot {
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -130,8 +130,9 @@
 		Call   CallID
 		Permit wire.Permit
 	}
-	// Share tells how many controllers share the limits.
-	Share struct{ Controllers int }
+	// Share tells what part of the state service's limits this controller may
+	// use.
+	Share struct{ Part float64 }
 	// ReadCatalogue asks the cloud; the result is a CatalogueRead.
 	ReadCatalogue struct{ Call CallID }
 	// ListMachines asks the cloud for all machines; the result is a Listed.
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,8 +15,10 @@
 type planner struct {
 	dirty         bool
 	urgent        bool // something came in that a waiting critical job needs
+	lostSome      bool // machines are gone with what stood on them
 	criticalWaits bool
 	nextPlan      Time
+	nextRest      Time
 	nextLook      Time
 	lastBump      Time
 	nextSweep     Time
@@ -60,29 +62,37 @@
 	notDoneWait = 200 * time.Millisecond
 	reportSlack = 2 * time.Second
 	maxPerHost  = 300
-	maxTxnBytes = 40 << 10 // leaves room for one more page under the 64 KiB of a transaction
+	maxTxnBytes = 40 << 10 // leaves room for two more pages under the 64 KiB of a transaction
+	// restEvery is how often what can wait is planned at most: planning costs
+	// in proportion to the fleet.
+	restEvery = 250 * time.Millisecond
 )
 
-// reindex brings the index of the records up to date.
-func (c *Core) reindex() {
-	if !c.changed {
-		return
+// index adds a page's entries to the index of the records, unindex takes them
+// out again.
+func (c *Core) index(p *page) {
+	for i := range p.entries {
+		e := &p.entries[i]
+		e.page = p
+		c.onMachine[e.Machine] = append(c.onMachine[e.Machine], e)
+		c.ofJob[e.Job] = append(c.ofJob[e.Job], e)
 	}
-	c.changed = false
-	c.dirty = true
-	clear(c.onMachine)
-	clear(c.ofJob)
-	for _, name := range sortedKeys(c.teams) {
-		t := c.teams[name]
-		for _, key := range sortedKeys(t.pages) {
-			p := t.pages[key]
-			for i := range p.entries {
-				e := &p.entries[i]
-				c.onMachine[e.Machine] = append(c.onMachine[e.Machine], e)
-				c.ofJob[e.Job] = append(c.ofJob[e.Job], e)
-				e.team = name
-			}
-		}
+}
+
+func (c *Core) unindex(p *page) {
+	here := func(e *Entry) bool { return e.page == p }
+	for i := range p.entries {
+		e := &p.entries[i]
+		dropWhere(c.onMachine, e.Machine, here)
+		dropWhere(c.ofJob, e.Job, here)
+	}
+}
+
+func dropWhere[K comparable](m map[K][]*Entry, k K, drop func(*Entry) bool) {
+	if left := slices.DeleteFunc(m[k], drop); len(left) > 0 {
+		m[k] = left
+	} else {
+		delete(m, k)
 	}
 }
 
@@ -95,27 +105,7 @@
 	if s, ok := c.stewards[team]; ok {
 		return s
 	}
-	best, bestScore := "", uint64(0)
-	score := func(label string) {
-		h := fnv.New64a()
-		h.Write([]byte(label))
-		h.Write([]byte{0})
-		h.Write([]byte(team))
-		s := h.Sum64()
-		s ^= s >> 31
-		s *= 0x9e3779b97f4a7c15
-		if s >= bestScore {
-			best, bestScore = label, s
-		}
-	}
-	for label := range c.nodes {
-		if !c.deafNodes[label] {
-			score(label)
-		}
-	}
-	if best == "" {
-		score(c.set.Label) // nobody else is known to be of use
-	}
+	best := highest(c.labels, team)
 	c.stewards[team] = best
 	return best
 }
@@ -131,30 +121,33 @@
 
 // round is one conditional write to a team's records.
 type round struct {
-	team      *team
-	pages     map[string]*page // drafts of the pages it changes
-	done      map[wire.JobID]TaskSet
-	donePages map[string]bool
-	wrote     map[string]bool // pages that the transaction changes
-	conds     map[string]wire.Ledger
-	places    bool
-	bump      bool
-	skip      map[wire.MachineID]bool
-	tell      map[wire.MachineID]bool // machines with new orders afterwards
-	ops       int
-	bytes     int
+	team   *team
+	pages  map[string]*page // drafts of the pages it changes
+	done   map[wire.JobID]TaskSet
+	ends   map[wire.JobID]bool // the jobs that it ends
+	adds   map[string]bool     // zones in which it adds entries
+	conds  map[string]wire.Ledger
+	places bool
+	urgent bool // it places critical tasks
+	bump   bool
+	skip   map[wire.MachineID]bool
+	tell   map[wire.MachineID]bool // machines with new orders afterwards
+	ops    int
+	bytes  int
 }
 
 func (c *Core) newRound(t *team) *round {
-	return &round{team: t, pages: map[string]*page{}, done: map[wire.JobID]TaskSet{}, donePages: map[string]bool{}, wrote: map[string]bool{},
-		conds: map[string]wire.Ledger{}, skip: map[wire.MachineID]bool{}, tell: map[wire.MachineID]bool{}}
+	return &round{team: t, pages: map[string]*page{}, done: map[wire.JobID]TaskSet{}, ends: map[wire.JobID]bool{},
+		adds: map[string]bool{}, conds: map[string]wire.Ledger{}, skip: map[wire.MachineID]bool{}, tell: map[wire.MachineID]bool{}}
 }
 
-// draft is the page to change in this round.
-func (r *round) draft(p *page) *page {
+// draft is the page to change in this round. What it holds of jobs that are
+// over goes with the change.
+func (c *Core) draft(r *round, p *page) *page {
 	d := r.pages[p.key]
 	if d == nil {
-		d = &page{key: p.key, team: p.team, zone: p.zone, n: p.n, stamp: p.stamp, size: p.size, entries: slices.Clone(p.entries)}
+		d = &page{key: p.key, team: p.team, zone: p.zone, n: p.n, stamp: p.stamp, size: p.size,
+			entries: slices.Clone(p.entries), done: c.living(p.done)}
 		r.pages[p.key] = d
 		r.ops++
 		r.bytes += p.size
@@ -172,25 +165,33 @@
 
 func (r *round) empty() bool { return len(r.pages) == 0 && len(r.done) == 0 }
 
-// fits reports whether the round may still take on more changes.
+// fits reports whether the round may still take on more changes. What a round
+// demands does not grow with its team: the heads of its zones, the pages that
+// it writes, its jobs, the baton and the list of machines to be returned.
 func (c *Core) fits(r *round, ops int) bool {
 	limits := &c.set.Cluster.State
-	conds := len(r.conds) + len(r.team.pages) + len(c.set.Cluster.Zones) + 4
+	conds := len(r.conds) + len(r.pages) + len(c.set.Cluster.Zones) + 4
 	return r.ops+ops < limits.TxnOps && conds <= 4*limits.TxnOps && r.bytes < maxTxnBytes
 }
 
-// plan runs one pass over all that waits, if there is reason to.
+// plan runs one pass over all that waits, if there is reason to. What can wait
+// gathers until this controller's share of the writes allows another round.
 func (c *Core) plan() {
 	if !c.ready || !c.whole() || !c.stateFresh() || !c.urgent && !c.after(c.nextPlan) {
 		return
 	}
-	c.urgent = false
-	c.reindex()
-	if !c.dirty && !c.after(c.nextPlan.Add(idlePlan)) {
+	// What stood on machines that are gone is not made to wait.
+	rest := c.lostSome || c.after(c.nextRest) && c.affords()
+	if !rest && !c.urgent || !c.dirty && !c.after(c.nextPlan.Add(idlePlan)) {
 		return
 	}
-	c.dirty = false
+	c.lostSome = false
+	c.dirty = !rest // what could not be looked at now is looked at later
+	c.urgent = false
 	c.nextPlan = c.now.Add(planEvery)
+	if rest {
+		c.nextRest = c.now.Add(restEvery)
+	}
 	rounds := map[string]*round{}
 	for _, name := range sortedKeys(c.teams) {
 		t := c.teams[name]
@@ -198,6 +199,10 @@
 			continue
 		}
 		r := c.newRound(t)
+		rounds[name] = r
+		if !rest {
+			continue
+		}
 		c.takeProofs(r)
 		switch {
 		case r.empty() || c.mine(name):
@@ -206,14 +211,15 @@
 			t.proofFrom = c.now.Add(proofTime)
 			fallthrough
 		case !c.after(t.proofFrom):
-			r = c.newRound(t)
+			rounds[name] = c.newRound(t)
 		}
-		rounds[name] = r
 	}
-	c.endJobs(rounds)
-	c.mendGangs(rounds)
-	c.drain(rounds)
-	c.place(rounds)
+	if rest {
+		c.endJobs(rounds)
+		c.mendGangs(rounds)
+		c.drain(rounds)
+	}
+	c.place(rounds, rest)
 	for _, name := range sortedKeys(rounds) {
 		if r := rounds[name]; !r.empty() {
 			c.write(r)
@@ -236,7 +242,7 @@
 	for _, key := range sortedKeys(r.team.pages) {
 		p := r.team.pages[key]
 		for i := range p.entries {
-			if !c.fits(r, 3) {
+			if !c.fits(r, 4) {
 				return
 			}
 			c.takeProof(r, p, &p.entries[i])
@@ -250,7 +256,7 @@
 		return
 	}
 	if m.gone {
-		r.remove(p, e, e.Tasks)
+		c.remove(r, p, e, e.Tasks, TaskSet{})
 		return
 	}
 	rep := m.direct
@@ -260,7 +266,7 @@
 	if rep.Shift > e.Shift {
 		// The worker's lease ran out: it killed everything, and obeys no command
 		// that was meant for the session before.
-		r.remove(p, e, e.Tasks)
+		c.remove(r, p, e, e.Tasks, TaskSet{})
 		return
 	}
 	j := c.jobs[e.Job]
@@ -309,20 +315,20 @@
 		if e.Shape == wire.ShapeGang {
 			done = Span(0, j.spec.Tasks) // they complete together
 		}
-		ends := j.done.With(r.done[e.Job]).With(done).Len() == j.spec.Tasks
-		if _, ok := r.done[e.Job]; !ok {
-			r.ops += 2
-			r.conds[jobKey(e.Job)] = j.stamp
-		}
-		for i := range done.All {
-			if key := doneKey(e.Job, i/c.donePageSize()); !ends && !r.donePages[key] {
-				r.donePages[key] = true
-				r.ops++
-			}
-		}
 		r.done[e.Job] = r.done[e.Job].With(done)
+		if !r.ends[e.Job] && j.done.With(r.done[e.Job]).Len() == j.spec.Tasks {
+			c.end(r, j)
+		}
 	}
-	r.remove(p, e, gone)
+	c.remove(r, p, e, gone, done)
+}
+
+// end has a round end a job.
+func (c *Core) end(r *round, j *job) {
+	r.ends[j.id] = true
+	r.ops += 2
+	r.conds[jobKey(j.id)] = j.stamp
+	r.conds[finalKey(j.id)] = 0
 }
 
 // lacked reports whether a worker that reports here has lacked an entry's tasks
@@ -343,7 +349,7 @@
 
 // fence changes an entry and raises the baton in the same write.
 func (c *Core) fence(r *round, p *page, e *Entry, change func(*Entry)) {
-	d := r.draft(p)
+	d := c.draft(r, p)
 	for i := range d.entries {
 		if x := &d.entries[i]; sameEntry(x, e) {
 			change(x)
@@ -363,9 +369,9 @@
 	return a.Job == b.Job && a.Attempt == b.Attempt && a.Machine == b.Machine && a.Halt == b.Halt
 }
 
-// remove takes tasks out of an entry.
-func (r *round) remove(p *page, e *Entry, gone TaskSet) {
-	d := r.draft(p)
+// remove takes tasks out of an entry and notes those of them that are done.
+func (c *Core) remove(r *round, p *page, e *Entry, gone, done TaskSet) {
+	d := c.draft(r, p)
 	kept := d.entries[:0]
 	for _, x := range d.entries {
 		if x.Job == e.Job && x.Attempt == e.Attempt && x.Machine == e.Machine {
@@ -377,11 +383,14 @@
 		kept = append(kept, x)
 	}
 	d.entries = kept
+	if !done.Empty() {
+		d.done[e.Job] = d.done[e.Job].With(done)
+	}
 }
 
 // halt marks tasks of an entry to be stopped.
 func (c *Core) halt(r *round, p *page, e *Entry, tasks TaskSet, how Halt) {
-	d := r.draft(p)
+	d := c.draft(r, p)
 	for i := range d.entries {
 		x := &d.entries[i]
 		if !sameEntry(x, e) || x.Halt >= how {
@@ -395,7 +404,7 @@
 		rest := x.Tasks.Without(stopped)
 		part := *x
 		part.Tasks = stopped
-		if d.size+entryRoom(&part) > c.pageLimit() {
+		if d.size+part.roomAfter(nil) > c.pageLimit() {
 			rest = TaskSet{} // no room to split the entry: stop all of it
 		}
 		// What was fenced was the launcher before, not this stop.
@@ -405,7 +414,7 @@
 		}
 		x.Tasks = rest
 		part.Halt, part.Fence = how, 0
-		d.size += entryRoom(&part)
+		d.size += part.roomAfter(nil)
 		d.entries = append(d.entries, part)
 		return
 	}
@@ -420,14 +429,25 @@
 // entriesOf finds a job's entries, as its team's round would leave them.
 func (c *Core) entriesOf(r *round, id wire.JobID) []located {
 	var out []located
-	for _, key := range sortedKeys(r.team.pages) {
-		p := r.view(r.team.pages[key])
-		for i := range p.entries {
-			if p.entries[i].Job == id {
-				out = append(out, located{r.team.pages[key], &p.entries[i]})
+	seen := map[string]bool{}
+	look := func(p *page) {
+		if p == nil || seen[p.key] {
+			return
+		}
+		seen[p.key] = true
+		d := r.view(p)
+		for i := range d.entries {
+			if d.entries[i].Job == id {
+				out = append(out, located{p, &d.entries[i]})
 			}
 		}
 	}
+	for _, e := range c.ofJob[id] {
+		look(e.page)
+	}
+	for _, key := range sortedKeys(r.pages) {
+		look(r.team.pages[key])
+	}
 	return out
 }
 
@@ -450,10 +470,9 @@
 		if r == nil || j.done.Len() < j.spec.Tasks || !c.mine(j.spec.Team) || !c.fits(r, 3) {
 			continue
 		}
-		if _, ending := r.done[id]; !ending {
+		if !r.ends[id] {
 			r.done[id] = TaskSet{}
-			r.ops += 2
-			r.conds[jobKey(id)] = j.stamp
+			c.end(r, j)
 		}
 	}
 }
@@ -467,7 +486,7 @@
 		if j.spec.Shape != wire.ShapeGang || r == nil || !c.mine(j.spec.Team) || !c.fits(r, 4) {
 			continue
 		}
-		if _, ending := r.done[id]; ending {
+		if r.ends[id] {
 			continue
 		}
 		var placed TaskSet
@@ -518,37 +537,20 @@
 // write commits a round and, once it stands, tells the machines.
 func (c *Core) write(r *round) {
 	t := r.team
+	for id := range r.ends {
+		for _, d := range r.pages {
+			delete(d.done, id)
+		}
+	}
 	txn := wire.Transaction{}
-	for _, key := range sortedKeys(r.pages) {
+	for _, key := range c.settle(r) {
 		d := r.pages[key]
-		if p := t.pages[key]; p != nil && slices.EqualFunc(p.entries, d.entries, equalEntry) {
-			continue
-		}
 		r.conds[key] = d.stamp
-		r.wrote[key] = true
-		txn.Then = append(txn.Then, put(key, pageValue{d.entries}))
+		txn.Then = append(txn.Then, put(key, d.value()))
 	}
-	for _, id := range sortedKeys(r.done) {
-		done := r.done[id]
-		j := c.jobs[id]
-		all := j.done.With(done)
-		if all.Len() == j.spec.Tasks {
-			r.conds[finalKey(id)] = 0
-			txn.Then = append(txn.Then,
-				put(finalKey(id), finalRecord{Status: wire.StatusDone, Done: j.spec.Tasks}), wire.Change{Drop: jobKey(id)})
-			continue
-		}
-		size := c.donePageSize()
-		for n := 0; n*size < j.spec.Tasks; n++ {
-			if done.And(Span(n*size, (n+1)*size)).Empty() {
-				continue
-			}
-			set := j.done.With(done).And(Span(n*size, (n+1)*size))
-			// Without its own condition, two controllers that note tasks from
-			// different zones would each undo what the other noted.
-			r.conds[doneKey(id, n)] = c.ver[doneKey(id, n)]
-			txn.Then = append(txn.Then, put(doneKey(id, n), set))
-		}
+	for _, id := range sortedKeys(r.ends) {
+		txn.Then = append(txn.Then, put(finalKey(id), finalRecord{Status: wire.StatusDone, Done: c.jobs[id].spec.Tasks}),
+			wire.Change{Drop: jobKey(id)})
 	}
 	if r.bump {
 		txn.Then = append(txn.Then, put(batonKey, c.baton+1))
@@ -557,21 +559,21 @@
 		return
 	}
 	class := ClassRest
-	if r.places {
+	if r.urgent {
 		class = ClassUrgent
-		// Every record that the decision read is checked: all the team's zones,
-		// and that no page was added to them.
-		for _, p := range t.pages {
-			r.conds[p.key] = p.stamp
-		}
+	}
+	if r.places {
+		// The heads of all the team's zones stand for every record that the
+		// decision read; one that does not exist yet must still not.
 		for _, zone := range c.set.Cluster.Zones {
-			key := pageKey(t.name, zone, t.count[zone])
-			if _, added := r.pages[key]; !added {
-				r.conds[key] = 0
+			key := pageKey(t.name, zone, 0)
+			if p := t.pages[key]; p != nil {
+				r.conds[key] = p.stamp
 			} else {
-				r.conds[pageKey(t.name, zone, t.count[zone]+1)] = 0
+				r.conds[key] = 0
 			}
 		}
+		r.conds[doomKey] = c.ver[doomKey]
 	}
 	for _, key := range sortedKeys(r.conds) {
 		txn.If = append(txn.If, wire.Condition{Key: key, Stamp: r.conds[key]})
@@ -580,10 +582,11 @@
 	sent := c.now
 	c.commitKnown(class, txn, pagePrefix, func(res Committed) {
 		c.dirty = true
+		c.urgent = c.urgent || c.criticalWaits
 		if res.Outcome == Done {
 			t.writing = nil
 			c.adopt(r, res.Ledger)
-			for id := range r.done {
+			for id := range r.ends {
 				if c.jobs[id] == nil {
 					c.count(countDone, 1)
 				}
@@ -591,7 +594,6 @@
 			if r.places {
 				t.tries, t.locked = 0, nil
 			}
-			c.reindex()
 			for _, id := range sortedKeys(r.tell) {
 				if m := c.machines[id]; m != nil {
 					c.pushNow(m)
@@ -622,20 +624,64 @@
 	})
 }
 
+// settle readies the pages that a round writes: those that differ, and the head
+// of every zone in which it adds entries. A page that has come to take more than
+// a value may, as stops and fences set its entries apart, hands some on to
+// another page; if there is none, it is left as it was until there is room.
+func (c *Core) settle(r *round) []string {
+	t := r.team
+	for _, key := range sortedKeys(r.pages) {
+		d := r.pages[key]
+		d.tidy()
+		for bulk(d) > c.pageLimit() {
+			e := d.entries[len(d.entries)-1]
+			d.entries = d.entries[:len(d.entries)-1]
+			if len(d.entries) == 0 || !c.addTo(r, d.zone, e, key) {
+				c.log.Warn("placement record is full", "key", key)
+				r.pages[key] = c.draft(&round{pages: map[string]*page{}}, t.pages[key])
+				break
+			}
+		}
+	}
+	for _, zone := range sortedKeys(r.adds) {
+		c.draft(r, c.headOf(t, zone))
+	}
+	var keys []string
+	for _, key := range sortedKeys(r.pages) {
+		d := r.pages[key]
+		d.tidy()
+		if p := t.pages[key]; p != nil && !(d.n == 0 && r.adds[d.zone]) && sameRecord(p, d) {
+			continue
+		}
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+// bulk is how many bytes a page's value takes.
+func bulk(p *page) int {
+	if p.size <= 0 {
+		p.measure()
+	}
+	return len(put(p.key, p.value()).Value)
+}
+
+func sameRecord(a, b *page) bool {
+	return len(a.done) == len(b.done) && slices.EqualFunc(a.entries, b.entries, equalEntry) &&
+		maps.EqualFunc(a.done, b.done, TaskSet.Equal)
+}
+
 // adopt takes a round's pages into the cache as they were written.
 func (c *Core) adopt(r *round, stamp wire.Ledger) {
-	for _, key := range sortedKeys(r.wrote) {
-		if stamp <= c.ver[key] {
+	for _, key := range sortedKeys(r.pages) {
+		d := r.pages[key]
+		if _, wrote := r.conds[key]; !wrote || stamp <= c.ver[key] {
 			continue
 		}
-		d := r.pages[key]
 		c.ver[key] = stamp
 		d.stamp = stamp
 		d.measure()
-		t := c.teamOf(d.team)
-		t.pages[key] = d
-		t.count[d.zone] = max(t.count[d.zone], d.n+1)
-		c.changed = true
+		c.turn(d)
 	}
 }
 
@@ -659,84 +705,81 @@
 }
 
 func equalEntry(a, b Entry) bool {
-	ta, tb := a.Tasks, b.Tasks
-	a.Tasks, b.Tasks = TaskSet{}, TaskSet{}
-	return a.Job == b.Job && a.Attempt == b.Attempt && a.Machine == b.Machine && a.Shift == b.Shift &&
-		a.Launcher == b.Launcher && a.Fence == b.Fence && a.Halt == b.Halt && slices.Equal(ta.ranges, tb.ranges)
+	return a.head == b.head && a.Machine == b.Machine && a.Shift == b.Shift && a.Tasks.Equal(b.Tasks)
 }
 
-// donePageSize is how many tasks one done record covers, so that even the worst
-// set of ranges stays under the value limit: two tasks in three, in pairs, take
-// "[99997,99998]," each.
-func (c *Core) donePageSize() int { return int(c.set.Cluster.State.ValueKB * 1024 / 6) }
+func (c *Core) pageLimit() int { return int(c.set.Cluster.State.ValueKB * 1024) }
 
-// entryRoom is the most that an entry can come to take on its page, as tasks
-// leave it one by one.
-func entryRoom(e *Entry) int {
-	return 210 + len(e.Job) + len(e.Machine) + 7*(e.Tasks.Len()/2+1)
-}
+// addShare is the part of a page that new entries may fill: the rest is for
+// stops and fences that set entries apart.
+const addShare = 0.8
 
-func (p *page) measure() {
-	p.size = len(`{"e":[]}`)
-	for i := range p.entries {
-		p.size += entryRoom(&p.entries[i])
+// headOf is the head of a team's pages in a zone, empty if there is none yet.
+func (c *Core) headOf(t *team, zone string) *page {
+	key := pageKey(t.name, zone, 0)
+	if p := t.pages[key]; p != nil {
+		return p
 	}
+	return &page{key: key, team: t.name, zone: zone, size: pageRoom}
 }
 
-func (c *Core) pageLimit() int { return int(c.set.Cluster.State.ValueKB * 1024) }
-
 // add puts a new entry on a page of its zone that has room, or on a new one.
 // It reports whether the round could take it.
-func (c *Core) add(r *round, zone string, e Entry) bool {
-	size := entryRoom(&e)
+func (c *Core) add(r *round, zone string, e Entry) bool { return c.addTo(r, zone, e, "") }
+
+func (c *Core) addTo(r *round, zone string, e Entry, not string) bool {
 	t := r.team
-	for n := 0; n <= t.count[zone]; n++ {
+	for n := 0; ; n++ {
 		key := pageKey(t.name, zone, n)
 		p := t.pages[key]
 		if p == nil {
 			if n < t.count[zone] {
 				return false // a page that we have not read
 			}
-			p = &page{key: key, team: t.name, zone: zone, n: n, size: len(`{"e":[]}`)}
+			p = &page{key: key, team: t.name, zone: zone, n: n, size: pageRoom}
 		}
-		if cur := r.view(p); cur.size+size > c.pageLimit() {
+		cur := r.view(p)
+		size := e.roomAfter(cur.entries)
+		if key == not || cur.size+size > int(addShare*float64(c.pageLimit())) {
+			if n >= t.count[zone] && len(cur.entries) == 0 {
+				return false // it would fit on no page
+			}
 			continue
 		}
-		if r.pages[key] == nil && !c.fits(r, 1) {
+		// The head is written too.
+		head := c.headOf(t, zone)
+		if (r.pages[key] == nil || r.pages[head.key] == nil) && !c.fits(r, 2) {
 			return false
 		}
-		d := r.draft(p)
+		c.draft(r, head)
+		d := c.draft(r, p)
 		d.entries = append(d.entries, e)
 		d.size += size
 		r.bytes += size
+		r.adds[zone] = true
 		return true
 	}
-	return false
 }
 
 // hosts builds the fleet as placement sees it: what is on the machines by the
 // records, with the rounds that are being written.
-func (c *Core) hosts(rounds map[string]*round) placement.Fleet {
-	var fleet placement.Fleet
-	byID := map[wire.MachineID]*placement.Host{}
+func (c *Core) hosts(rounds map[string]*round, visit func(*page, *Entry, *placement.Host)) (placement.Fleet, map[wire.MachineID]*placement.Host) {
+	fleet := make(placement.Fleet, 0, len(c.machines))
+	byID := make(map[wire.MachineID]*placement.Host, len(c.machines))
 	for _, id := range sortedKeys(c.machines) {
 		m := c.machines[id]
 		t := c.kind(m.kind)
 		if t == nil || m.newest == nil || m.gone {
 			continue
 		}
-		h := &placement.Host{ID: id, Labels: labels(m.kind, m.zone, m.spot), Total: amountOf(t),
-			Free: amountOf(t), Slots: maxPerHost, Images: map[string]bool{}, Price: t.Rate}
+		h := &placement.Host{ID: id, Labels: c.labelsOf(m), Total: amountOf(t), Closed: !c.usable(m),
+			Free: amountOf(t), Slots: maxPerHost, Images: m.has, Price: t.Rate, Pulling: m.pulling}
 		if m.spot {
 			h.Price = t.MarketPrice
 		}
 		if !c.after(m.badUntil) {
 			h.Penalty = 1
 		}
-		for image := range m.images {
-			h.Images[image] = true
-		}
-		h.Pulling = c.pulling(m)
 		fleet = append(fleet, h)
 		byID[id] = h
 	}
@@ -744,21 +787,28 @@
 		h := byID[e.Machine]
 		if h == nil {
 			// Rules with within read the zone of an unknown machine too.
-			h = &placement.Host{ID: e.Machine, Labels: placement.Tags{placement.LabelZone: p.zone}}
+			h = &placement.Host{ID: e.Machine, Labels: placement.Tags{placement.LabelZone: p.zone}, Closed: true}
 			byID[e.Machine] = h
 			fleet = append(fleet, h)
 		}
 		n := e.Tasks.Len()
 		h.Free = h.Free.Plus(e.need(), -float64(n))
 		h.Slots -= n
-		g := placement.Group{Team: p.team, Tags: e.tags(), Count: n}
-		if e.Halt != HaltNo || c.jobs[e.Job] == nil {
+		g := placement.Group{Team: p.team, Count: n}
+		j := c.jobs[e.Job]
+		if j != nil {
+			g.Tags = j.req.Tags
+		} else {
+			g.Tags = e.tags()
+		}
+		if e.Halt != HaltNo || j == nil {
 			h.Freeing = h.Freeing.Plus(e.need(), float64(n))
 			g.Stopping = true
 		}
 		h.Groups = append(h.Groups, g)
+		visit(p, e, h)
 	})
-	return fleet
+	return fleet, byID
 }
 
 // planned visits all entries as the rounds under way will leave them.
@@ -777,19 +827,6 @@
 	}
 }
 
-// pulling counts the images that a machine is fetching.
-func (c *Core) pulling(m *machine) int {
-	images := map[string]bool{}
-	for key, t := range m.tasks {
-		if t.State == wire.TaskPulling {
-			if j := c.jobs[key.task.Job]; j != nil {
-				images[j.spec.Image] = true
-			}
-		}
-	}
-	return len(images)
-}
-
 // planPages are the team's pages as a round leaves them.
 func (t *team) planPages(r *round) []*page {
 	out := make([]*page, 0, len(t.pages))
@@ -815,7 +852,10 @@
 	if m == nil || m.newest == nil || m.gone || m.recallAt != 0 || m.status == wire.MachineFailed {
 		return false
 	}
-	if d, doomed := c.dooms[m.id]; doomed && !d.Over {
+	if _, going := c.dooms[m.id]; going {
+		return false
+	}
+	if m.deaf() && !c.unheard {
 		return false
 	}
 	return c.now.Sub(m.heard) < config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+reportSlack &&
@@ -832,44 +872,77 @@
 	late     bool   // not all can be in time, and this one is not among those chosen
 }
 
+// placing is one pass over what waits.
+type placing struct {
+	rounds map[string]*round
+	fleet  placement.Fleet
+	byID   map[wire.MachineID]*placement.Host
+	used   map[string]placement.Amount // of the teams' limits
+	own    map[wire.JobID][]*placement.Host
+	// full holds what found no room, by all that a search depends on: what needs
+	// as much need not look again in this pass.
+	full map[search][]placement.Amount
+}
+
+// search is what the result of looking for room depends on, beside the amount.
+type search struct {
+	team     string
+	rank     int
+	spot     bool
+	promised bool
+	stopping bool // others
+}
+
 // place gives waiting tasks machines. It plans for all teams, so that what this
 // controller places leaves room for more urgent work that others will place,
-// and writes only for those that it answers for.
-func (c *Core) place(rounds map[string]*round) {
+// and writes only for those that it answers for. Without rest it looks at
+// critical work alone.
+func (c *Core) place(rounds map[string]*round, rest bool) {
 	if len(c.catalogue) == 0 {
 		return
 	}
-	fleet := c.hosts(rounds)
-	used := map[string]placement.Amount{}
+	p := &placing{rounds: rounds, used: map[string]placement.Amount{}, own: map[wire.JobID][]*placement.Host{},
+		full: map[search][]placement.Amount{}}
 	placed := map[wire.JobID]TaskSet{}
 	zones := map[wire.JobID]string{}
-	c.planned(rounds, func(p *page, e *Entry) {
-		used[p.team] = used[p.team].Plus(e.need(), float64(e.Tasks.Len()))
+	p.fleet, p.byID = c.hosts(rounds, func(pg *page, e *Entry, h *placement.Host) {
+		p.used[pg.team] = p.used[pg.team].Plus(e.need(), float64(e.Tasks.Len()))
 		placed[e.Job] = placed[e.Job].With(e.Tasks)
-		zones[e.Job] = p.zone
+		p.own[e.Job] = append(p.own[e.Job], h)
+		zones[e.Job] = pg.zone
 	})
-	queue := c.queue(rounds, placed, zones)
-	c.backlog = c.backlog[:0]
+	queue := c.queue(rounds, placed, zones, rest)
 	c.criticalWaits = len(queue) > 0 && queue[0].job.spec.Rank == wire.RankCritical
-	reserved := false
-	for _, w := range queue {
+	backlog := c.backlog
+	c.backlog = nil
+	reserved := !rest
+	for i := range queue {
+		w := &queue[i]
 		if w.job.spec.Rank != wire.RankCritical && !reserved {
 			reserved = true
-			c.reserve(fleet)
+			c.reserve(p.fleet)
 		}
-		c.placeJob(rounds, fleet, used, w)
+		c.placeJob(p, w)
 	}
 	if !reserved {
-		c.reserve(fleet)
+		c.reserve(p.fleet)
+	}
+	if !rest {
+		c.backlog = backlog
 	}
 }
 
 // queue is all that waits, most urgent first.
-func (c *Core) queue(rounds map[string]*round, placed map[wire.JobID]TaskSet, zones map[wire.JobID]string) []waiting {
-	c.within = c.promised()
+func (c *Core) queue(rounds map[string]*round, placed map[wire.JobID]TaskSet, zones map[wire.JobID]string, rest bool) []waiting {
+	if rest {
+		c.within = c.promised()
+	}
 	var queue []waiting
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
+		if !rest && j.spec.Rank != wire.RankCritical {
+			continue
+		}
 		missing := Span(0, j.spec.Tasks).Without(j.done).Without(placed[id])
 		if r := c.teamOf(j.spec.Team).writing; r != nil {
 			missing = missing.Without(r.done[id])
@@ -898,7 +971,7 @@
 			cmp.Compare(a.job.id, b.job.id))
 	}
 	slices.SortFunc(queue, order)
-	if c.giveUpSome(queue) {
+	if rest && c.giveUpSome(queue) {
 		slices.SortFunc(queue, order)
 	}
 	return queue
@@ -1009,7 +1082,7 @@
 	return out
 }
 
-func (c *Core) placeJob(rounds map[string]*round, fleet placement.Fleet, used map[string]placement.Amount, w waiting) {
+func (c *Core) placeJob(p *placing, w *waiting) {
 	j := w.job
 	team := j.spec.Team
 	set := c.teamSettings(team)
@@ -1022,80 +1095,118 @@
 	}
 	// The limit counts whatever may still be on a machine.
 	count := placement.Amount{Cores: set.CPUsMax, Accelerators: set.GPUsMax, MemGB: 1e18}.
-		Plus(used[team], -1).Times(j.req.Need, w.missing.Len())
+		Plus(p.used[team], -1).Times(j.req.Need, w.missing.Len())
 	whole := j.spec.Shape == wire.ShapeGang
 	if count == 0 || whole && count < j.spec.Tasks {
 		j.why = "the team is at its limit"
 		return
 	}
-	r := rounds[team]
+	r := p.rounds[team]
 	t := c.teamOf(team)
 	act := r != nil && t.writing == nil && c.after(t.placeFrom) && c.places(j) && c.fits(r, 5)
-	o := placement.Options{Relax: c.chosen.Affinity == config.AffinityPreferred, Whole: whole, Rand: c.rand, Usable: func(h *placement.Host) bool {
-		until, avoid := j.avoid[h.ID]
-		return c.usable(c.machines[h.ID]) && (!avoid || c.after(until))
-	}}
+	if p.own[j.id] == nil {
+		p.own[j.id] = []*placement.Host{} // none is known, rather than nothing
+	}
+	o := placement.Options{Relax: c.chosen.Affinity == config.AffinityPreferred, Whole: whole, Rand: c.rand, Own: p.own[j.id]}
+	if len(j.avoid) > 0 {
+		o.Usable = func(h *placement.Host) bool {
+			until, avoid := j.avoid[h.ID]
+			return !avoid || c.after(until)
+		}
+	}
 	if act && t.tries > 0 {
 		o.Probes, o.Skip, o.Relax = c.chosen.ProbeHosts, t.locked, false
 	}
 	j.why = "being placed"
-	choices := c.choose(rounds, fleet, &w, &count, o)
+	choices := c.choose(p, w, &count, o)
 	missing := w.missing
 	attempt := wire.Attempt(0)
 	for _, ch := range choices {
-		var tasks TaskSet
-		tasks, missing = missing.Take(ch.Count)
-		used[team] = used[team].Plus(j.req.Need, float64(ch.Count))
-		if !act {
-			continue
-		}
-		if attempt == 0 {
-			attempt = wire.Attempt(c.serial())
-		}
+		p.used[team] = p.used[team].Plus(j.req.Need, float64(ch.Count))
 		m := c.machines[ch.Machine]
-		e := Entry{Job: j.id, Attempt: attempt, Machine: m.id, Shift: m.newest.Shift, Launcher: c.boot, Tasks: tasks,
-			Cores: j.spec.Cores, Accelerators: j.spec.Accelerators, MemGB: j.spec.MemGB,
-			Rank: j.spec.Rank.Order(), Shape: j.spec.Shape}
-		if !c.fits(r, 1) || !c.add(r, m.zone, e) {
-			act = false
-			if whole {
-				// A gang is placed as a whole or not at all.
-				c.unadd(r, attempt)
+		for left := ch.Count; left > 0; {
+			var tasks TaskSet
+			tasks, missing = missing.Take(min(left, c.entryTasks()))
+			left -= tasks.Len()
+			if !act {
+				continue
 			}
-			continue
-		}
-		r.places = true
-		r.conds[jobKey(j.id)] = j.stamp
-		r.conds[doomKey(m.id)] = c.ver[doomKey(m.id)]
-		r.skip[m.id] = true
-		r.tell[m.id] = true
-		c.count(countPlaced, ch.Count)
-		c.log.Debug("tasks placed", "job", j.id, "class", j.spec.Class, "machine", m.id, "attempt", attempt, "tasks", ch.Count,
-			"image", m.images[j.spec.Image] > 0 || slices.Contains(c.imagesNoted[m.id], j.spec.Image), "promised", w.promised)
-		if ch.Relaxed {
+			if attempt == 0 {
+				attempt = wire.Attempt(c.serial())
+			}
+			e := Entry{head: head{Job: j.id, Attempt: attempt, Launcher: c.boot,
+				Cores: j.spec.Cores, Accelerators: j.spec.Accelerators, MemGB: j.spec.MemGB,
+				Rank: j.spec.Rank.Order(), Shape: j.spec.Shape}, Machine: m.id, Shift: m.newest.Shift, Tasks: tasks}
+			if !c.fits(r, 1) || !c.add(r, m.zone, e) {
+				act = false
+				if whole {
+					// A gang is placed as a whole or not at all.
+					c.unadd(r, attempt)
+				}
+				continue
+			}
+			r.places = true
+			r.urgent = r.urgent || j.spec.Rank == wire.RankCritical
+			r.conds[jobKey(j.id)] = j.stamp
+			r.skip[m.id] = true
+			r.tell[m.id] = true
+			c.count(countPlaced, tasks.Len())
+			c.log.Debug("tasks placed", "job", j.id, "class", j.spec.Class, "machine", m.id, "attempt", attempt, "tasks", tasks.Len(),
+				"image", m.has[j.spec.Image], "promised", w.promised)
+		}
+		if ch.Relaxed && act {
 			c.count(countRelaxed, ch.Count)
-			c.log.Info("preferred rule relaxed", "job", j.id, "machine", m.id)
+			c.log.Debug("preferred rule relaxed", "job", j.id, "machine", m.id)
 		}
 	}
 	if count > 0 {
-		c.wanting(rounds, fleet, &w, count)
+		c.wanting(p, w, count)
+	}
+}
+
+// entryTasks is how many tasks one entry may hold, so that it fits on a page
+// together with others.
+func (c *Core) entryTasks() int { return max(1, min(maxPerHost, c.pageLimit()/32)) }
+
+// plain reports whether a search for room for the job depends on nothing but
+// what search says.
+func plain(j *job) bool {
+	s := &j.spec
+	return len(s.Types) == 0 && s.Zone == "" && !s.Apart && !s.Together && s.Shape != wire.ShapeGang && len(j.avoid) == 0
+}
+
+// hopeless reports whether something that needs no more found no room in this
+// pass.
+func (p *placing) hopeless(k search, j *job) bool {
+	return plain(j) && slices.ContainsFunc(p.full[k], func(a placement.Amount) bool { return j.req.Need.Covers(a) })
+}
+
+// noRoom notes that a job found none.
+func (p *placing) noRoom(k search, j *job) {
+	if plain(j) {
+		p.full[k] = append(p.full[k], j.req.Need)
 	}
 }
 
 // choose finds machines for a job's tasks and takes what it dealt with off
 // count. Urgent work goes where its image is already, since fetching one takes
 // longer than stopping something less urgent that stands in the way.
-func (c *Core) choose(rounds map[string]*round, fleet placement.Fleet, w *waiting, count *int, o placement.Options) []placement.Choice {
+func (c *Core) choose(p *placing, w *waiting, count *int, o placement.Options) []placement.Choice {
 	j := w.job
+	free := search{spot: j.spec.Spot}
+	if p.hopeless(free, j) {
+		return nil
+	}
 	usable := o.Usable
-	hasImage := func(h *placement.Host) bool { return usable(h) && h.Images[j.spec.Image] }
+	hasImage := func(h *placement.Host) bool { return h.Images[j.spec.Image] && (usable == nil || usable(h)) }
 	warm := o
 	warm.Usable = hasImage
 	warm.Relax = false
-	choices := fleet.Choose(j.req, *count, w.zone, warm)
+	choices := p.fleet.Choose(j.req, *count, w.zone, warm)
 	take := func() {
 		for _, ch := range choices {
 			*count -= ch.Count
+			p.own[j.id] = append(p.own[j.id], p.byID[ch.Machine])
 			if j.spec.Together {
 				w.zone = ch.Zone
 			}
@@ -1106,11 +1217,15 @@
 		return choices
 	}
 	if j.spec.Rank.Order() <= wire.RankHigh.Order() && c.coldSlow(j) {
-		*count = c.awaitRoom(rounds, fleet, w, *count, hasImage)
+		*count = c.awaitRoom(p, w, *count, hasImage)
 	}
 	first := choices
-	choices = fleet.Choose(j.req, *count, w.zone, o)
+	o.Own = p.own[j.id]
+	choices = p.fleet.Choose(j.req, *count, w.zone, o)
 	take()
+	if *count > 0 && o.Probes == 0 && o.Relax {
+		p.noRoom(free, j)
+	}
 	return append(first, choices...)
 }
 
@@ -1131,7 +1246,7 @@
 
 // awaitRoom has tasks wait for room that is being freed on some machines, or
 // has less urgent work there stopped, and returns how many still have none.
-func (c *Core) awaitRoom(rounds map[string]*round, fleet placement.Fleet, w *waiting, count int, usable func(*placement.Host) bool) int {
+func (c *Core) awaitRoom(p *placing, w *waiting, count int, usable func(*placement.Host) bool) int {
 	j := w.job
 	rules := j.req.Enforced
 	if w.zone != "" {
@@ -1141,21 +1256,24 @@
 	if (j.spec.Together && w.zone == "" || j.spec.Shape == wire.ShapeGang) && j.spec.Tasks > 1 {
 		return count
 	}
-	for _, h := range fleet {
+	rd := p.fleet.Reading(p.own[j.id])
+	for _, h := range p.fleet {
 		if count == 0 {
 			return 0
 		}
-		if !usable(h) || !fleet.Holds(rules, j.spec.Team, h) {
+		if h.Closed || h.Freeing.Cores <= 0 {
 			continue
 		}
-		n := h.Free.Plus(h.Freeing, 1).Times(j.req.Need, count)
-		if n > 0 {
-			h.Free = h.Free.Plus(j.req.Need, -float64(n))
-			count -= n
+		room := h.Free.Plus(h.Freeing, 1)
+		if !room.Covers(j.req.Need) || !usable(h) || !rd.Holds(rules, j.spec.Team, h) {
+			continue
 		}
+		n := room.Times(j.req.Need, count)
+		h.Free = h.Free.Plus(j.req.Need, -float64(n))
+		count -= n
 	}
-	if c.places(j) {
-		count = c.preempt(rounds, fleet, rules, w, count, usable)
+	if count > 0 && c.places(j) {
+		count = c.preempt(p, rd, rules, w, count, usable)
 	}
 	return count
 }
@@ -1180,8 +1298,14 @@
 // wanting deals with tasks that found no room: they wait for room that is being
 // freed, or have less urgent work stopped, or else stand in the backlog that
 // the buyer sees.
-func (c *Core) wanting(rounds map[string]*round, fleet placement.Fleet, w *waiting, count int) {
-	count = c.awaitRoom(rounds, fleet, w, count, func(h *placement.Host) bool { return c.usable(c.machines[h.ID]) })
+func (c *Core) wanting(p *placing, w *waiting, count int) {
+	stop := search{w.job.spec.Team, w.job.spec.Rank.Order(), w.job.spec.Spot, w.promised, true}
+	if !p.hopeless(stop, w.job) {
+		count = c.awaitRoom(p, w, count, func(*placement.Host) bool { return true })
+		if count > 0 {
+			p.noRoom(stop, w.job)
+		}
+	}
 	if count > 0 {
 		w.job.why = "no machine that fits has room"
 		c.backlog = append(c.backlog, demand{job: w.job, count: count, promised: w.promised})
@@ -1191,15 +1315,15 @@
 // preempt stops tasks to make room and returns how many tasks still have none.
 // Work within its team's guarantee is stopped only where nothing else will do,
 // and only for urgent work.
-func (c *Core) preempt(rounds map[string]*round, fleet placement.Fleet, rules []placement.Node, w *waiting, count int, usable func(*placement.Host) bool) int {
-	count = c.preemptSome(rounds, fleet, rules, w, count, usable, false)
+func (c *Core) preempt(p *placing, rd *placement.Reading, rules []placement.Node, w *waiting, count int, usable func(*placement.Host) bool) int {
+	count = c.preemptSome(p, rd, rules, w, count, usable, false)
 	if count > 0 && w.job.spec.Rank.Order() <= wire.RankHigh.Order() {
-		count = c.preemptSome(rounds, fleet, rules, w, count, usable, true)
+		count = c.preemptSome(p, rd, rules, w, count, usable, true)
 	}
 	return count
 }
 
-func (c *Core) preemptSome(rounds map[string]*round, fleet placement.Fleet, rules []placement.Node, w *waiting, count int, usable func(*placement.Host) bool, promised bool) int {
+func (c *Core) preemptSome(p *placing, rd *placement.Reading, rules []placement.Node, w *waiting, count int, usable func(*placement.Host) bool, promised bool) int {
 	j := w.job
 	need := j.req.Need
 	type option struct {
@@ -1208,17 +1332,17 @@
 		free    float64
 	}
 	var options []option
-	for _, h := range fleet {
-		if !usable(h) || !h.Total.Covers(need) || !fleet.Holds(rules, j.spec.Team, h) {
+	for _, h := range p.fleet {
+		if h.Closed || !h.Total.Covers(need) || len(c.onMachine[h.ID]) == 0 {
 			continue
 		}
 		room := h.Free.Plus(h.Freeing, 1)
 		for _, e := range c.onMachine[h.ID] {
-			if c.preemptable(rounds, e, w, promised) {
+			if c.preemptable(p.rounds, e, w, promised) {
 				room = room.Plus(e.need(), float64(e.Tasks.Len()))
 			}
 		}
-		if room.Covers(need) {
+		if room.Covers(need) && usable(h) && rd.Holds(rules, j.spec.Team, h) {
 			options = append(options, option{h, h.Pulling, h.Free.Cores})
 		}
 	}
@@ -1226,7 +1350,7 @@
 		return cmp.Or(cmp.Compare(a.pulling, b.pulling), -cmp.Compare(a.free, b.free), cmp.Compare(a.host.ID, b.host.ID))
 	})
 	for _, o := range options {
-		for count > 0 && c.makeRoom(rounds, o.host, w, promised) {
+		for count > 0 && c.makeRoom(p.rounds, o.host, w, promised) {
 			o.host.Free = o.host.Free.Plus(need, -1)
 			count--
 			c.count(countPreempted, 1)
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -19,21 +21,21 @@
 	nodePrefix  = "l/n/" // + label: the controllers that are alive
 	jobPrefix   = "l/j/" // + job: jobs that are not over
 	finalPrefix = "l/f/" // + job: how jobs ended, for ever
-	donePrefix  = "l/d/" // + job/page: the tasks that are done
 	pagePrefix  = "l/p/" // + team/zone/page: placement records
-	doomPrefix  = "l/m/" // + machine: machines about to be returned
-	imagePrefix = "l/i/" // + machine: the images that it was seen to have
+	doomKey     = "l/m"  // the machines about to be returned
+	imagePrefix = "l/i/" // + number: images that machines were seen to have
 )
 
 // loadPrefixes are read when a controller starts. Final states are not: they
 // are kept for ever, and read when somebody asks.
-var loadPrefixes = []string{"l/b", "l/d/", "l/i/", "l/j/", "l/m/", "l/n/", "l/p/", "l/s"}
-
-func jobKey(id wire.JobID) string         { return jobPrefix + string(id) }
-func finalKey(id wire.JobID) string       { return finalPrefix + string(id) }
-func doneKey(id wire.JobID, n int) string { return donePrefix + string(id) + "/" + strconv.Itoa(n) }
-func doomKey(m wire.MachineID) string     { return doomPrefix + string(m) }
-func nodeKey(label string) string         { return nodePrefix + label }
+//
+// Jobs are read before placement records, which speak of them.
+var loadPrefixes = []string{"l/b", "l/i/", "l/j/", "l/m", "l/n/", "l/p/", "l/s"}
+
+func jobKey(id wire.JobID) string   { return jobPrefix + string(id) }
+func finalKey(id wire.JobID) string { return finalPrefix + string(id) }
+func nodeKey(label string) string   { return nodePrefix + label }
+func imageKey(shard int) string     { return imagePrefix + strconv.Itoa(shard) }
 func pageKey(team, zone string, n int) string {
 	return pagePrefix + team + "/" + zone + "/" + strconv.Itoa(n)
 }
@@ -60,10 +62,14 @@
 	Done   int         `json:"done"`
 }
 
-// doomRecord says that a machine is about to be returned, and why.
+// doomRecord is all machines that are about to be returned, by why, and those
+// that the cloud has confirmed to be gone while something still stands on them:
+// whoever reads that may take it as proof. One that leaves Going without being
+// Gone was kept after all. One record for all of them costs one write however
+// many go at once, and gives placements one version to demand.
 type doomRecord struct {
-	Why  string `json:"why"`
-	Over bool   `json:"over,omitempty"` // it was spared after all
+	Going map[string][]wire.MachineID `json:"going,omitempty"`
+	Gone  []wire.MachineID            `json:"gone,omitempty"`
 }
 
 // Halt says whether and how an entry's tasks are to be stopped.
@@ -78,12 +84,20 @@
 
 // Entry is a number of tasks of one job placed on one machine in one round.
 type Entry struct {
-	Job     wire.JobID     `json:"j"`
-	Attempt wire.Attempt   `json:"a"`
-	Machine wire.MachineID `json:"m"`
+	head
+	Machine wire.MachineID
 	// Shift is the machine's session the launch is meant for: a worker obeys no
 	// command of another session.
-	Shift wire.Shift `json:"h"`
+	Shift wire.Shift
+	Tasks TaskSet
+
+	page *page // where it stands; set by the index
+}
+
+// head is what the entries of one job and round share.
+type head struct {
+	Job     wire.JobID   `json:"j"`
+	Attempt wire.Attempt `json:"a"`
 	// Launcher is the boot of the only controller that may send the launch.
 	Launcher wire.Baton `json:"l"`
 	// Fence, if not 0, is the baton that the machine must have seen before the
@@ -91,15 +105,12 @@
 	// proves that it is gone.
 	Fence wire.Baton `json:"f,omitempty"`
 	Halt  Halt       `json:"s,omitempty"`
-	Tasks TaskSet    `json:"k"`
 
 	Cores        float64    `json:"c,omitempty"`
 	Accelerators float64    `json:"g,omitempty"`
 	MemGB        float64    `json:"r,omitempty"`
 	Rank         int        `json:"p,omitempty"`
 	Shape        wire.Shape `json:"b"`
-
-	team string // whose record it stands in; set by the index
 }
 
 func (e *Entry) need() placement.Amount {
@@ -114,20 +125,105 @@
 	return t
 }
 
-// page is one placement record with its version.
+// page is one placement record with its version. Page 0 of a team and zone is
+// its head: whatever adds an entry to any page of the zone writes the head too,
+// so that one version stands for all of them.
 type page struct {
 	key     string
 	team    string
 	zone    string
 	n       int
 	stamp   wire.Ledger
-	size    int
+	size    int // the most that its value can come to as its tasks end one by one
 	entries []Entry
+	done    map[wire.JobID]TaskSet
 }
 
-// pageValue is a page's value in the state service.
+// pageValue is a page's value in the state service. Tasks that are done move
+// from their entry to Done in the write that removes them, and stay there until
+// the job is over: an end costs no write of its own.
 type pageValue struct {
-	Entries []Entry `json:"e"`
+	Groups []group                `json:"e"`
+	Done   map[wire.JobID]TaskSet `json:"d,omitempty"`
+}
+
+// group is the entries that share a head, machine by machine.
+type group struct {
+	head
+	Machines []wire.MachineID `json:"m"`
+	Shifts   []wire.Shift     `json:"h"`
+	Tasks    []TaskSet        `json:"k"`
+}
+
+// value packs a page. Entries of one head must stand together.
+func (p *page) value() pageValue {
+	v := pageValue{Groups: []group{}, Done: p.done}
+	for i := range p.entries {
+		e := &p.entries[i]
+		if k := len(v.Groups); k == 0 || v.Groups[k-1].head != e.head {
+			v.Groups = append(v.Groups, group{head: e.head})
+		}
+		g := &v.Groups[len(v.Groups)-1]
+		g.Machines, g.Shifts, g.Tasks = append(g.Machines, e.Machine), append(g.Shifts, e.Shift), append(g.Tasks, e.Tasks)
+	}
+	return v
+}
+
+// unpack takes a value's entries into the page.
+func (p *page) unpack(v *pageValue) error {
+	for i := range v.Groups {
+		g := &v.Groups[i]
+		if len(g.Shifts) != len(g.Machines) || len(g.Tasks) != len(g.Machines) {
+			return fmt.Errorf("placement record %q: group of %d machines with %d shifts and %d sets",
+				p.key, len(g.Machines), len(g.Shifts), len(g.Tasks))
+		}
+		for k := range g.Machines {
+			p.entries = append(p.entries, Entry{head: g.head, Machine: g.Machines[k], Shift: g.Shifts[k], Tasks: g.Tasks[k]})
+		}
+	}
+	p.done = v.Done
+	return nil
+}
+
+// tidy orders the entries so that those of one head stand together.
+func (p *page) tidy() {
+	slices.SortStableFunc(p.entries, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Halt, b.Halt),
+			cmp.Compare(a.Fence, b.Fence), cmp.Compare(a.Launcher, b.Launcher), cmp.Compare(a.Machine, b.Machine))
+	})
+}
+
+// What parts of a page's value take at most, beyond the names in them.
+const (
+	pageRoom = len(`{"e":[],"d":{}}`)
+	headRoom = 180 + doneRoom
+	onesRoom = len(`"",`) + len(`16777216,`) + len(`[],`)
+	doneRoom = len(`"":[],`)
+)
+
+// room is the most that an entry can come to take on its page, beside the head.
+// A task takes the same at most whether it stands in its entry or among those
+// done: of many, two in three, in pairs, take "[98,99]," each.
+func (e *Entry) room() int {
+	return onesRoom + len(e.Machine) + e.Tasks.Len()*(len(strconv.Itoa(e.Tasks.last()))+2)
+}
+
+// roomAfter is what an entry adds to a page that ends with the entries before.
+func (e *Entry) roomAfter(before []Entry) int {
+	if k := len(before); k > 0 && before[k-1].head == e.head {
+		return e.room()
+	}
+	return e.room() + headRoom + 2*len(e.Job)
+}
+
+func (p *page) measure() {
+	p.size = pageRoom
+	for i := range p.entries {
+		p.size += p.entries[i].roomAfter(p.entries[:i])
+	}
+	for id, set := range p.done {
+		p.size += doneRoom + len(id) + set.room()
+	}
 }
 
 func parsePageKey(key string) (team, zone string, n int, err error) {
@@ -146,12 +242,3 @@
 	}
 	return rest[:i], rest[i+1:], n, nil
 }
-
-func parseDoneKey(key string) (wire.JobID, int, error) {
-	job, num, ok := strings.Cut(strings.TrimPrefix(key, donePrefix), "/")
-	n, err := strconv.Atoi(num)
-	if !ok || err != nil {
-		return "", 0, fmt.Errorf("done record %q: bad key", key)
-	}
-	return wire.JobID(job), n, nil
-}
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"lilacrill/wire"
@@ -19,6 +21,11 @@
 	readyAt Time
 	counter uint64
 
+	part     float64  // of the state service's limits
+	labels   []string // the living controllers that reach workers
+	budget   float64  // writes that may be made now; below 0 after a large round
+	budgetAt Time
+
 	permit     wire.Permit
 	permitCall bool
 	nextExtend Time
@@ -45,6 +52,7 @@
 	if !c.permitCall && c.after(c.nextExtend) {
 		c.tickLease()
 	}
+	c.openBarrier()
 	if c.enrolled && (c.nodes[c.set.Label] != c.boot || c.deafNodes[c.set.Label] != c.deaf()) {
 		// A late copy of an earlier enrolment may hang the record on a lease that
 		// has since run out; or others should know that we no longer hear workers.
@@ -148,28 +156,134 @@
 // of 29 bits below 2^53, which is as far as decimal numbers in JSON are exact.
 const serialBits = 24
 
-// tickGarbage drops the done records of jobs that are over. They could not go
-// with the job's end, since a transaction is limited. A late write cannot bring
-// them back: it demands the job's record, which is gone.
+// tickGarbage rewrites placement records that nothing stands on but what was
+// done of jobs that are over; others lose that when they are next written.
 func (c *Core) tickGarbage() {
-	if !c.whole() || !c.stateFresh() || c.sweeping || !c.after(c.nextSweep) || !c.mine("") {
+	if !c.whole() || !c.stateFresh() || c.sweeping || !c.after(c.nextSweep) || !c.affords() {
 		return
 	}
 	c.nextSweep = c.now.Add(2 * time.Second)
-	var txn wire.Transaction
-	for key, stamp := range c.orphans {
-		id, _, err := parseDoneKey(key)
-		if err != nil || c.jobs[id] != nil || stamp > c.feed {
+	for _, name := range sortedKeys(c.teams) {
+		t := c.teams[name]
+		if t.writing != nil || !c.mine(name) {
 			continue
 		}
-		txn.Then = append(txn.Then, wire.Change{Drop: key})
-		if len(txn.Then) >= c.set.Cluster.State.TxnOps {
-			break
+		for _, key := range sortedKeys(t.pages) {
+			p := t.pages[key]
+			if len(p.entries) > 0 || len(p.done) == 0 || len(c.living(p.done)) == len(p.done) {
+				continue
+			}
+			d := page{done: c.living(p.done)}
+			c.sweeping = true
+			c.commit(ClassRest, wire.Transaction{
+				If:   []wire.Condition{{Key: key, Stamp: p.stamp}},
+				Then: []wire.Change{put(key, d.value())},
+			}, func(Committed) { c.sweeping = false })
+			return
 		}
 	}
-	if len(txn.Then) == 0 {
-		return
+}
+
+// living is what of the done sets belongs to jobs that are not over.
+func (c *Core) living(done map[wire.JobID]TaskSet) map[wire.JobID]TaskSet {
+	out := map[wire.JobID]TaskSet{}
+	for id, set := range done {
+		if c.jobs[id] != nil {
+			out[id] = set
+		}
+	}
+	return out
+}
+
+// assign shares out the teams and the state service's limits among the living
+// controllers. All come to the same result once they know of the same ones;
+// until then it costs lost writes and refused calls, not safety.
+func (c *Core) assign() {
+	clear(c.stewards)
+	var labels []string
+	weight := map[string]float64{}
+	for _, label := range sortedKeys(c.nodes) {
+		weight[label] = 1
+		if c.nodes[label] == c.buyer {
+			weight[label]++
+		}
+		if !c.deafNodes[label] {
+			labels = append(labels, label)
+		}
+	}
+	if len(labels) == 0 {
+		labels = append(labels, c.set.Label) // nobody else is known to be of use
+	}
+	var names []string
+	for i := range c.set.Cluster.Teams {
+		names = append(names, c.set.Cluster.Teams[i].Name)
+	}
+	slices.Sort(names)
+	// Each takes the teams it scores highest for, but no more than its part: at
+	// many writes a second a controller with three teams holds two of them up.
+	most := (len(names) + len(labels) - 1) / len(labels)
+	load := map[string]int{}
+	for _, name := range names {
+		open := slices.DeleteFunc(slices.Clone(labels), func(l string) bool { return load[l] >= most })
+		best := highest(open, name)
+		load[best]++
+		weight[best]++
+		c.stewards[name] = best
 	}
-	c.sweeping = true
-	c.commit(ClassRest, txn, func(Committed) { c.sweeping = false })
+	sum := 0.0
+	for _, w := range weight {
+		sum += w
+	}
+	own := weight[c.set.Label]
+	if own == 0 {
+		own, sum = 1, sum+1 // not enrolled yet
+	}
+	c.labels = labels
+	if part := own / sum; part != c.part {
+		c.part = part
+		c.do(Share{part})
+	}
+}
+
+// highest is the label that scores highest for a name.
+func highest(labels []string, name string) string {
+	best, bestScore := "", uint64(0)
+	for _, label := range labels {
+		h := fnv.New64a()
+		h.Write([]byte(label))
+		h.Write([]byte{0})
+		h.Write([]byte(name))
+		s := h.Sum64()
+		s ^= s >> 31
+		s *= 0x9e3779b97f4a7c15
+		if s >= bestScore {
+			best, bestScore = label, s
+		}
+	}
+	return best
+}
+
+// share is this controller's part of the state service's limits.
+func (c *Core) share() float64 {
+	if c.part == 0 {
+		return 1
+	}
+	return c.part
+}
+
+// writeShare leaves a little of the writes, for leases and acceptance.
+const writeShare = 0.85
+
+// spend takes writes off what this controller may write by now.
+func (c *Core) spend(writes int) {
+	rate := writeShare * c.share() * c.set.Cluster.State.WriteRPS
+	c.budget = min(max(rate, 1), c.budget+rate*c.now.Sub(c.budgetAt).Seconds()) - float64(writes)
+	c.budgetAt = c.now
+}
+
+// affords reports whether writes that can wait may be made now: they gather
+// while there is nothing left, and go in fewer and larger rounds.
+func (c *Core) affords() bool {
+	c.spend(0)
+	return c.budget > 0
 }
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"lilacrill/internal/config"
 	"lilacrill/internal/placement"
 	"lilacrill/wire"
 )
@@ -27,17 +28,17 @@
 
 	jobs      map[wire.JobID]*job
 	finals    map[wire.JobID]finalRecord
-	orphans   map[string]wire.Ledger // done records, all of them, for cleaning up
 	teams     map[string]*team
 	nodes     map[string]wire.Baton
 	deafNodes map[string]bool
-	dooms     map[wire.MachineID]doomRecord
+	doom      doomRecord
+	dooms     map[wire.MachineID]doomed // the machines that are going
 	buyer     wire.Baton
-	changed   bool // pages or jobs changed since the last index
 	stateOK   Time
 	watching  bool
 
 	barrierOpen bool
+	barrierFrom Time            // not before, so that users who ask do not use up the tokens
 	waiting     []func(ok bool) // served by the barrier in flight
 	queued      []func(ok bool) // served by the one after it
 }
@@ -49,7 +50,6 @@
 	at    int64
 	by    wire.Baton
 	stamp wire.Ledger
-	pages map[int]TaskSet
 	done  TaskSet
 	req   *placement.Request
 
@@ -62,6 +62,12 @@
 	avoid     map[wire.MachineID]Time
 }
 
+// doomed says why a machine is going, and since which revision that stands.
+type doomed struct {
+	why   string
+	since wire.Ledger
+}
+
 // team is a team's placement records.
 type team struct {
 	name  string
@@ -78,11 +84,10 @@
 	s.dropped = map[string]wire.Ledger{}
 	s.jobs = map[wire.JobID]*job{}
 	s.finals = map[wire.JobID]finalRecord{}
-	s.orphans = map[string]wire.Ledger{}
 	s.teams = map[string]*team{}
 	s.nodes = map[string]wire.Baton{}
 	s.deafNodes = map[string]bool{}
-	s.dooms = map[wire.MachineID]doomRecord{}
+	s.doom, s.dooms = doomRecord{}, map[wire.MachineID]doomed{}
 }
 
 func (s *store) teamOf(name string) *team {
@@ -131,6 +136,7 @@
 		if value != nil {
 			err = json.Unmarshal(value, &c.buyer)
 		}
+		c.assign()
 	case key == settingsKey:
 		err = c.applySettings(value, stamp)
 	case strings.HasPrefix(key, nodePrefix):
@@ -145,32 +151,15 @@
 				c.deafNodes[label] = n.Deaf
 			}
 		}
-		clear(c.stewards)
-		c.do(Share{max(len(c.nodes), 1)})
+		c.assign()
 	case strings.HasPrefix(key, jobPrefix):
 		err = c.applyJob(wire.JobID(strings.TrimPrefix(key, jobPrefix)), value, stamp)
-	case strings.HasPrefix(key, donePrefix):
-		err = c.applyDone(key, value, stamp)
 	case strings.HasPrefix(key, pagePrefix):
 		err = c.applyPage(key, value, stamp)
 	case strings.HasPrefix(key, imagePrefix):
-		err = c.applyImages(wire.MachineID(strings.TrimPrefix(key, imagePrefix)), value)
-	case strings.HasPrefix(key, doomPrefix):
-		m := wire.MachineID(strings.TrimPrefix(key, doomPrefix))
-		if value == nil {
-			// The record of a doomed machine is dropped only once the cloud has
-			// confirmed its return and nothing stands on it any more. A buyer that
-			// did not know would return it again, and spend on it what it may give
-			// up at a time.
-			if old, ok := c.dooms[m]; ok && !old.Over && c.machines[m] != nil {
-				c.machines[m].gone, c.machines[m].goneAt = true, c.now
-			}
-			delete(c.dooms, m)
-		} else {
-			var d doomRecord
-			err = json.Unmarshal(value, &d)
-			c.dooms[m] = d
-		}
+		err = c.applyImages(strings.TrimPrefix(key, imagePrefix), value)
+	case key == doomKey:
+		err = c.applyDoom(value, stamp)
 	}
 	if err != nil {
 		c.log.Error("record in the state service not understood", "key", key, "err", err)
@@ -188,7 +177,7 @@
 }
 
 func (c *Core) applyJob(id wire.JobID, value json.RawMessage, stamp wire.Ledger) error {
-	c.changed = true
+	c.dirty = true
 	if value == nil {
 		delete(c.jobs, id)
 		return nil
@@ -199,9 +188,13 @@
 	}
 	j := c.jobs[id]
 	if j == nil {
-		j = &job{id: id, pages: map[int]TaskSet{}, errors: map[wire.MachineID]bool{}, avoid: map[wire.MachineID]Time{}}
+		j = &job{id: id, errors: map[wire.MachineID]bool{}, avoid: map[wire.MachineID]Time{}}
 		j.seen = c.now
 		c.jobs[id] = j
+		// While everything is read anew, a page may have come before its job.
+		for _, p := range c.teamOf(r.Spec.Team).pages {
+			j.done = j.done.With(p.done[id])
+		}
 	}
 	c.urgent = c.urgent || r.Spec.Rank == wire.RankCritical
 	j.spec, j.at, j.by, j.stamp = r.Spec, r.At, r.By, stamp
@@ -209,30 +202,6 @@
 	return nil
 }
 
-func (c *Core) applyDone(key string, value json.RawMessage, stamp wire.Ledger) error {
-	id, n, err := parseDoneKey(key)
-	if err != nil {
-		return err
-	}
-	if value == nil {
-		delete(c.orphans, key)
-		return nil
-	}
-	c.orphans[key] = stamp
-	j := c.jobs[id]
-	if j == nil {
-		return nil
-	}
-	var set TaskSet
-	if err := json.Unmarshal(value, &set); err != nil {
-		return err
-	}
-	c.changed = true
-	j.pages[n] = set
-	j.done = j.done.With(set)
-	return nil
-}
-
 func (c *Core) applyPage(key string, value json.RawMessage, stamp wire.Ledger) error {
 	name, zone, n, err := parsePageKey(key)
 	if err != nil {
@@ -243,12 +212,59 @@
 	if err := json.Unmarshal(value, &v); err != nil {
 		return err
 	}
-	p.entries = v.Entries
+	if err := p.unpack(&v); err != nil {
+		return err
+	}
 	p.measure()
-	t := c.teamOf(name)
-	t.pages[key] = p
-	t.count[zone] = max(t.count[zone], n+1)
-	c.changed = true
+	c.turn(p)
+	return nil
+}
+
+// turn puts a page, as it was read or written, in the place of the one before
+// and keeps the index of the records in step.
+func (c *Core) turn(p *page) {
+	t := c.teamOf(p.team)
+	if old := t.pages[p.key]; old != nil {
+		c.unindex(old)
+	}
+	t.pages[p.key] = p
+	t.count[p.zone] = max(t.count[p.zone], p.n+1)
+	c.index(p)
+	for id, set := range p.done {
+		if j := c.jobs[id]; j != nil {
+			j.done = j.done.With(set)
+		}
+	}
+	c.dirty = true
+}
+
+// applyDoom takes the list of machines about to be returned and of those that
+// are gone.
+func (c *Core) applyDoom(value json.RawMessage, stamp wire.Ledger) error {
+	var d doomRecord
+	if value != nil {
+		if err := json.Unmarshal(value, &d); err != nil {
+			return err
+		}
+	}
+	dooms := map[wire.MachineID]doomed{}
+	for why, names := range d.Going {
+		for _, id := range names {
+			since := stamp
+			if old, ok := c.dooms[id]; ok {
+				since = old.since
+			}
+			dooms[id] = doomed{why, since}
+		}
+	}
+	for _, id := range d.Gone {
+		// What stood on it may be placed again at once.
+		if m := c.machineOf(id); !m.gone {
+			m.gone, m.goneAt = true, c.now
+			c.lostSome, c.urgent = true, true
+		}
+	}
+	c.doom, c.dooms, c.dirty = d, dooms, true
 	return nil
 }
 
@@ -265,16 +281,10 @@
 		finals := c.finals
 		c.store.init()
 		c.finals = finals
-		// Jobs come before their done records, whatever the order of the keys.
+		clear(c.onMachine)
+		clear(c.ofJob)
 		for _, e := range l.Entries {
-			if !strings.HasPrefix(e.Key, donePrefix) {
-				c.apply(e.Key, e.Value, e.Stamp)
-			}
-		}
-		for _, e := range l.Entries {
-			if strings.HasPrefix(e.Key, donePrefix) {
-				c.apply(e.Key, e.Value, e.Stamp)
-			}
+			c.apply(e.Key, e.Value, e.Stamp)
 		}
 		c.feed = l.First
 		c.catchUp = l.Last
@@ -301,7 +311,7 @@
 		}
 		// A short pause lets changes gather: what a busy feed brings is wanted
 		// within a second, not at once.
-		c.watchFrom = c.now.Add(watchPause)
+		c.watchFrom = c.now.Add(c.every(watchPause, watchPart))
 		if c.feed < c.catchUp {
 			c.watch()
 		}
@@ -312,8 +322,18 @@
 	watchBlock = 10 * time.Second
 	watchPause = 40 * time.Millisecond
 	retryState = 250 * time.Millisecond
+	// watchPart and barrierPart are the parts of this controller's requests that
+	// reading the feed may take.
+	watchPart   = 0.25
+	barrierPart = 0.3
 )
 
+// every is the time between calls that may take a part of this controller's
+// share of the state service's requests.
+func (c *Core) every(least time.Duration, part float64) time.Duration {
+	return max(least, config.Seconds(1/(part*c.share()*c.set.Cluster.State.RPS)))
+}
+
 // fed takes an answer of the feed and reports whether it was one.
 func (c *Core) fed(f Fed) bool {
 	c.outcome(f.Outcome, countStateNot, countStateLost)
@@ -358,10 +378,11 @@
 }
 
 func (c *Core) openBarrier() {
-	if c.barrierOpen || len(c.queued) == 0 {
+	if c.barrierOpen || len(c.queued) == 0 || !c.after(c.barrierFrom) {
 		return
 	}
 	c.barrierOpen = true
+	c.barrierFrom = c.now.Add(c.every(0, barrierPart))
 	c.waiting, c.queued = c.queued, nil
 	after := c.feed
 	c.do(Follow{Call: call(c, func(f Fed) {
@@ -386,6 +407,7 @@
 // empty) into the cache itself.
 func (c *Core) commitKnown(class Class, txn wire.Transaction, known string, then func(Committed)) {
 	sent := c.now
+	c.spend(len(txn.Then))
 	c.do(Commit{call(c, func(r Committed) {
 		c.count(countCommits, 1)
 		c.took(timeCommit, c.now.Sub(sent))
--- a/internal/core/taskset.go
+++ b/internal/core/taskset.go
@@ -31,6 +31,20 @@
 	return n
 }
 
+// room is how many bytes the set's JSON takes at most.
+func (s TaskSet) room() int { return 14*len(s.ranges) + 2 }
+
+// last is the largest member, or 0.
+func (s TaskSet) last() int {
+	if s.Empty() {
+		return 0
+	}
+	return s.ranges[len(s.ranges)-1][1]
+}
+
+// Equal reports whether both sets have the same members.
+func (s TaskSet) Equal(o TaskSet) bool { return slices.Equal(s.ranges, o.ranges) }
+
 // Empty reports whether the set has no members.
 func (s TaskSet) Empty() bool { return len(s.ranges) == 0 }
 
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -205,7 +205,6 @@
 
 func (c *Core) status(j *job) wire.JobStatus {
 	s := wire.JobStatus{ID: j.id, Status: wire.StatusPending, Done: j.done.Len()}
-	c.reindex()
 	for _, e := range c.ofJob[j.id] {
 		if m := c.machines[e.Machine]; m != nil {
 			s.Running += m.running(e)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -152,8 +152,11 @@
 	if l.From == "" {
 		return nil, errors.New("line without a sender")
 	}
-	if l.Report != nil {
-		if err := l.Report.Check(); err != nil {
+	for _, r := range l.Reports {
+		if r == nil {
+			return nil, errors.New("line with an empty report")
+		}
+		if err := r.Check(); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,14 +13,15 @@
 // TestLines: what was written is read back; what was cut or spoilt is refused
 // or harmless, never fatal.
 func TestLines(t *testing.T) {
-	l := &wire.PeerLine{From: "rig-1", Report: &wire.Report{Machine: "m-1", Addr: "10.0.0.1:1", Type: "g8", Zone: "a", Shift: 1,
-		Tasks: []wire.TaskReport{{Task: wire.TaskID{Job: "wk-1", Index: 2}, Attempt: 3, State: wire.TaskRunning}}}}
+	l := &wire.PeerLine{From: "rig-1", Reports: []*wire.Report{{Machine: "m-1", Addr: "10.0.0.1:1", Type: "g8", Zone: "a", Shift: 1,
+		Tasks: []wire.TaskReport{{Task: wire.TaskID{Job: "wk-1", Index: 2}, Attempt: 3, State: wire.TaskRunning}}}},
+		Heard: []wire.Heard{{Machine: "m-2", Shift: 1, Tally: 7, Baton: 3}}}
 	good, err := json.Marshal(l)
 	require.NoError(t, err)
 	back, err := Parse(good)
 	require.NoError(t, err)
 	require.Equal(t, l, back)
-	for _, bad := range []string{``, `{}`, `[]`, `null`, `{"from":"rig-1","report":{}}`, `{"from":7}`, `{"from":"rig-1","report":{"rig":"m"}}`} {
+	for _, bad := range []string{``, `{}`, `[]`, `null`, `{"from":"rig-1","reports":[{}]}`, `{"from":7}`, `{"from":"rig-1","reports":[null]}`} {
 		_, err := Parse([]byte(bad))
 		require.Error(t, err, bad)
 	}
@@ -31,8 +32,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := append([]byte(nil), good...)
 		b[rapid.IntRange(0, len(b)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
-		if l, err := Parse(b); err == nil && l.Report != nil {
-			require.NoError(t, l.Report.Check())
+		if l, err := Parse(b); err == nil {
+			for _, r := range l.Reports {
+				require.NoError(t, r.Check())
+			}
 		}
 	})
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -29,16 +29,22 @@
 	Relax bool
 	// Whole demands room for all tasks or places none.
 	Whole bool
-	// Usable filters machines that may not take this job for now.
+	// Usable, if set, filters machines that may not take this job for now.
 	Usable func(*Host) bool
+	// Own, if not nil, are the machines with the job's own tasks.
+	Own []*Host
 }
 
 // Choose places up to count tasks of the request and books them on the hosts.
 // Zone, if not empty, is where the job's other tasks are (Together).
 func (f Fleet) Choose(r *Request, count int, zone string, o Options) []Choice {
 	pool := f.pool(r, o)
+	if len(pool) == 0 {
+		return nil
+	}
+	rd := f.Reading(o.Own)
 	if r.Together && zone == "" {
-		zone = f.bestZone(r, pool, count)
+		zone = rd.bestZone(r, pool, count)
 		if zone == "" {
 			return nil
 		}
@@ -48,9 +54,9 @@
 		enforced = append(slices.Clip(enforced), InZone(zone))
 	}
 	undo := map[*Host]Host{}
-	choices := f.fill(r, pool, enforced, r.Preferred, count, undo)
+	choices := rd.fill(r, pool, enforced, r.Preferred, count, undo)
 	if left := count - total(choices); left > 0 && o.Relax && len(r.Preferred) > 0 {
-		for _, c := range f.fill(r, pool, enforced, nil, left, undo) {
+		for _, c := range rd.fill(r, pool, enforced, nil, left, undo) {
 			c.Relaxed = true
 			choices = append(choices, c)
 		}
@@ -74,9 +80,9 @@
 
 // pool is the machines to look at, best first.
 func (f Fleet) pool(r *Request, o Options) []*Host {
-	pool := make([]*Host, 0, len(f))
+	var pool []*Host
 	for _, h := range f {
-		if !o.Skip[h.ID] && h.Slots > 0 && h.Free.Covers(r.Need) && (o.Usable == nil || o.Usable(h)) {
+		if !h.Closed && h.Slots > 0 && h.Free.Covers(r.Need) && !o.Skip[h.ID] && (o.Usable == nil || o.Usable(h)) {
 			pool = append(pool, h)
 		}
 	}
@@ -84,16 +90,22 @@
 		o.Rand.Shuffle(len(pool), func(i, k int) { pool[i], pool[k] = pool[k], pool[i] })
 		pool = pool[:min(o.Probes, len(pool))]
 	}
-	keys := make(map[*Host]rank, len(pool))
-	for _, h := range pool {
-		keys[h] = rankOf(r, h)
+	type ranked struct {
+		rank
+		host *Host
 	}
-	slices.SortStableFunc(pool, func(a, b *Host) int {
-		ka, kb := keys[a], keys[b]
-		return cmp.Or(cmp.Compare(ka.penalty, kb.penalty), cmp.Compare(ka.wasted, kb.wasted),
-			cmp.Compare(ka.image, kb.image), cmp.Compare(ka.kind, kb.kind),
-			cmp.Compare(ka.size, kb.size), cmp.Compare(ka.left, kb.left), cmp.Compare(a.ID, b.ID))
+	keys := make([]ranked, len(pool))
+	for i, h := range pool {
+		keys[i] = ranked{rankOf(r, h), h}
+	}
+	slices.SortStableFunc(keys, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.penalty, b.penalty), cmp.Compare(a.wasted, b.wasted),
+			cmp.Compare(a.image, b.image), cmp.Compare(a.kind, b.kind),
+			cmp.Compare(a.size, b.size), cmp.Compare(a.left, b.left), cmp.Compare(a.host.ID, b.host.ID))
 	})
+	for i := range keys {
+		pool[i] = keys[i].host
+	}
 	return pool
 }
 
@@ -131,12 +143,12 @@
 	return k
 }
 
-func (f Fleet) fill(r *Request, pool []*Host, enforced, preferred []Node, count int, undo map[*Host]Host) []Choice {
+func (rd *Reading) fill(r *Request, pool []*Host, enforced, preferred []Node, count int, undo map[*Host]Host) []Choice {
 	var out []Choice
 	for _, h := range pool {
 		placed := 0
 		for count > 0 && h.Slots > 0 && h.Free.Covers(r.Need) &&
-			f.Holds(enforced, r.Team, h) && f.Holds(preferred, r.Team, h) {
+			rd.Holds(enforced, r.Team, h) && rd.Holds(preferred, r.Team, h) {
 			n := 1
 			if !r.Single {
 				n = h.Free.Times(r.Need, min(count, h.Slots))
@@ -145,6 +157,7 @@
 				undo[h] = Host{Free: h.Free, Slots: h.Slots, Groups: slices.Clone(h.Groups)}
 			}
 			h.Add(r.Team, r.Tags, r.Need, n)
+			rd.added(r.Tags, h, n)
 			placed += n
 			count -= n
 		}
@@ -159,11 +172,11 @@
 }
 
 // bestZone is the zone with room for most of the tasks.
-func (f Fleet) bestZone(r *Request, pool []*Host, count int) string {
+func (rd *Reading) bestZone(r *Request, pool []*Host, count int) string {
 	room := map[string]int{}
 	best := ""
 	for _, h := range pool {
-		if f.Holds(r.Enforced, r.Team, h) {
+		if rd.Holds(r.Enforced, r.Team, h) {
 			z := h.Labels[LabelZone]
 			before := room[z]
 			room[z] = min(count, before+h.Free.Times(r.Need, count))
--- a/internal/placement/rules.go
+++ b/internal/placement/rules.go
@@ -110,6 +110,8 @@
 	// Freeing is what tasks that were told to stop will give back.
 	Freeing Amount
 	Groups  []Group
+	// Closed says that the machine may take no new tasks now.
+	Closed bool
 	// Slots is how many more tasks the machine may hold.
 	Slots int
 	// Images holds the images the machine is known to have.
@@ -152,51 +154,103 @@
 
 // Holds evaluates the nodes (all must hold) for a team's task on a host.
 func (f Fleet) Holds(nodes []Node, team string, h *Host) bool {
+	return f.Reading(nil).Holds(nodes, team, h)
+}
+
+// Reading evaluates rules over a fleet and remembers what it counted, since
+// rules with Within read many machines for every candidate. It holds as long as
+// tasks are added through it alone.
+type Reading struct {
+	fleet  Fleet
+	own    []*Host
+	counts map[*Rule]map[string]int
+}
+
+// Reading starts one. Own, if not nil, are the machines with tasks of the job
+// that rules about a job's tag ask for.
+func (f Fleet) Reading(own []*Host) *Reading { return &Reading{fleet: f, own: own} }
+
+// Holds evaluates the nodes (all must hold) for a team's task on a host.
+func (r *Reading) Holds(nodes []Node, team string, h *Host) bool {
 	for i := range nodes {
-		if !f.holds(&nodes[i], team, h) {
+		if !r.holds(&nodes[i], team, h) {
 			return false
 		}
 	}
 	return true
 }
 
-func (f Fleet) holds(n *Node, team string, h *Host) bool {
+func (r *Reading) holds(n *Node, team string, h *Host) bool {
 	switch {
 	case n.Rule != nil:
-		return f.ruleHolds(n.Rule, team, h)
+		return r.ruleHolds(n.Rule, team, h)
 	case n.AnyOf != nil:
 		for i := range n.AnyOf {
-			if f.holds(&n.AnyOf[i], team, h) {
+			if r.holds(&n.AnyOf[i], team, h) {
 				return true
 			}
 		}
 		return false
 	}
-	return f.Holds(n.AllOf, team, h)
+	return r.Holds(n.AllOf, team, h)
 }
 
-func (f Fleet) ruleHolds(r *Rule, team string, h *Host) bool {
-	if r.Resource == MachineLabels {
-		return hasAll(h.Labels, r.Tags) == (r.Operator == Has)
+func (r *Reading) ruleHolds(rule *Rule, team string, h *Host) bool {
+	if rule.Resource == MachineLabels {
+		return hasAll(h.Labels, rule.Tags) == (rule.Operator == Has)
 	}
 	n := 0
-	if r.Within == "" {
-		n = h.matching(r, team)
+	if rule.Within == "" {
+		n = h.matching(rule, team)
 	} else {
-		value, ok := h.Labels[r.Within]
+		value, ok := h.Labels[rule.Within]
 		if !ok {
 			return false
 		}
-		for _, o := range f {
-			if v, ok := o.Labels[r.Within]; ok && v == value {
-				n += o.matching(r, team)
-			}
-		}
+		n = r.within(rule, team)[value]
 	}
-	if r.Operator == Has {
+	if rule.Operator == Has {
 		return n > 0
 	}
-	return n <= r.Allow
+	return n <= rule.Allow
+}
+
+// within counts the tasks that match a rule by the label that it names.
+func (r *Reading) within(rule *Rule, team string) map[string]int {
+	if counts := r.counts[rule]; counts != nil {
+		return counts
+	}
+	hosts := r.fleet
+	if _, ofJob := rule.Tags[TagJob]; ofJob && r.own != nil {
+		hosts = r.own
+	}
+	counts := map[string]int{}
+	read := make(map[*Host]bool, len(r.own))
+	for _, o := range hosts {
+		if read[o] {
+			continue // own may name a machine more than once
+		}
+		if r.own != nil {
+			read[o] = true
+		}
+		if v, ok := o.Labels[rule.Within]; ok {
+			counts[v] += o.matching(rule, team)
+		}
+	}
+	if r.counts == nil {
+		r.counts = map[*Rule]map[string]int{}
+	}
+	r.counts[rule] = counts
+	return counts
+}
+
+// added notes that tasks with these tags were placed on a host.
+func (r *Reading) added(tags Tags, h *Host, n int) {
+	for rule, counts := range r.counts {
+		if hasAll(tags, rule.Tags) {
+			counts[h.Labels[rule.Within]] += n
+		}
+	}
 }
 
 func (h *Host) matching(r *Rule, team string) int {
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -47,9 +47,9 @@
 // Serve hands out tokens until done is closed.
 func (c *Client) Serve(done <-chan struct{}) { c.queue.serve(done) }
 
-// Share divides the limits among so many controllers.
-func (c *Client) Share(controllers int) {
-	c.queue.share(c.set.Cluster.State.RPS, c.set.Cluster.State.WriteRPS, controllers)
+// Share sets the part of the limits that this controller may use.
+func (c *Client) Share(part float64) {
+	c.queue.share(c.set.Cluster.State.RPS, c.set.Cluster.State.WriteRPS, part)
 }
 
 // outcome sorts a call's end. Statuses in the 500s other than 503 say nothing
--- a/internal/statestore/tokens.go
+++ b/internal/statestore/tokens.go
@@ -41,10 +41,10 @@
 	return q
 }
 
-// share divides the limits among the controllers that are alive.
-func (q *queue) share(requests, writes float64, controllers int) {
+// share sets the part of the limits that may be used.
+func (q *queue) share(requests, writes, part float64) {
 	set := func(l *rate.Limiter, limit float64) {
-		limit *= (1 - keepBack) / float64(controllers)
+		limit *= (1 - keepBack) * part
 		l.SetLimit(rate.Limit(limit))
 		l.SetBurst(max(1, int(limit)))
 	}
--- a/internal/statestore/tokens_test.go
+++ b/internal/statestore/tokens_test.go
@@ -52,7 +52,7 @@
 // still goes through when its writes are more than the share's burst.
 func TestShare(t *testing.T) {
 	q := newQueue(150, 40)
-	q.share(150, 40, 3)
+	q.share(150, 40, 1.0/3)
 	require.Less(t, float64(q.requests.Limit())*3, 150.0)
 	require.Less(t, float64(q.writes.Limit())*3, 40.0)
 	now := time.Now().Add(time.Minute)
--- a/wire/services.go
+++ b/wire/services.go
@@ -123,14 +123,25 @@
 	Log    []LogEntry `json:"log"`
 }
 
-// PeerLine is one line between controllers. A line with neither a report nor a
-// machine list only says that its sender is alive.
+// PeerLine is one line between controllers. A line with nothing else only says
+// that its sender is alive.
 type PeerLine struct {
 	From string `json:"from"`
 	// StateFresh says that the sender has heard from the state service lately.
 	StateFresh bool `json:"state_fresh,omitempty"`
-	// Report is a worker's report as the sender got it.
-	Report *Report `json:"report,omitempty"`
-	// Cloud is the machine list as the sender read it.
+	// Reports are workers' reports as the sender got them, of machines of which
+	// more has changed than the time.
+	Reports []*Report `json:"reports,omitempty"`
+	// Heard are the machines that reported what they had reported before.
+	Heard []Heard `json:"heard,omitempty"`
+	// Cloud is what is new in the machine list as the sender read it.
 	Cloud []ListedMachine `json:"cloud,omitempty"`
 }
+
+// Heard says that a machine reported, with nothing new but this.
+type Heard struct {
+	Machine MachineID `json:"m"`
+	Shift   Shift     `json:"s"`
+	Tally   Tally     `json:"t"`
+	Baton   Baton     `json:"b"`
+}
