--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -804,6 +804,9 @@
 		if e.Halt != HaltNo || j == nil {
 			h.Freeing = h.Freeing.Plus(e.need(), float64(n))
 			g.Stopping = true
+		} else {
+			h.Ranks |= 1 << e.Rank
+			h.Beyond = h.Beyond || e.Rank >= wire.RankNormal.Order() && !c.within[e.Job]
 		}
 		h.Groups = append(h.Groups, g)
 		visit(p, e, h)
@@ -1332,8 +1335,9 @@
 		free    float64
 	}
 	var options []option
+	lower := ^uint8(0) << (j.spec.Rank.Order() + 1)
 	for _, h := range p.fleet {
-		if h.Closed || !h.Total.Covers(need) || len(c.onMachine[h.ID]) == 0 {
+		if h.Closed || h.Ranks&lower == 0 && !(w.promised && h.Beyond) || !h.Total.Covers(need) {
 			continue
 		}
 		room := h.Free.Plus(h.Freeing, 1)
--- a/internal/placement/rules.go
+++ b/internal/placement/rules.go
@@ -110,6 +110,10 @@
 	// Freeing is what tasks that were told to stop will give back.
 	Freeing Amount
 	Groups  []Group
+	// Ranks has a bit for the rank of every task on it that could be stopped;
+	// Beyond says that some of them stand outside their team's guarantee.
+	Ranks  uint8
+	Beyond bool
 	// Closed says that the machine may take no new tasks now.
 	Closed bool
 	// Slots is how many more tasks the machine may hold.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -33,6 +33,8 @@
 	CutState, CutWorkers map[int]bool
 	// NoDirect has workers refuse direct calls from controllers.
 	NoDirect bool
+	// Capacity is how many machines there are of each type, zone and kind.
+	Capacity int
 	// SlowState is added to the state service's answers.
 	SlowState time.Duration
 
@@ -115,6 +117,7 @@
 		Lease:    config.Seconds(set.Cluster.Workers.LeaseS), ReportEvery: config.Seconds(set.Cluster.Workers.ReportS),
 		GangWait: config.Seconds(set.Cluster.Workers.GangWaitS), GangPeer: config.Seconds(set.Cluster.Workers.GangPeerS),
 		Cancel:   config.Seconds(set.Cluster.Workers.CancelS),
+		Capacity: 3,
 		CutState: map[int]bool{}, CutWorkers: map[int]bool{},
 		rng: rand.New(rand.NewPCG(seed, 7)), store: NewStore(),
 		byID: map[wire.MachineID]*machine{}, hires: map[string][]wire.MachineID{}, types: types,
@@ -453,8 +456,7 @@
 			inUse++
 		}
 	}
-	const capacity = 3 // of each type, zone and kind
-	number := min(h.Number, capacity-inUse)
+	number := min(h.Number, w.Capacity-inUse)
 	if i < 0 || number <= 0 {
 		return core.Hired{Outcome: core.NotDone, Refused: true}
 	}
