--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,9 +97,20 @@
 }
 
 // Healthy reports whether this controller can take requests: not while it
-// starts, and not while only it is cut from the state service.
+// starts, and not while only it is cut from the state service, as far as it can
+// tell: a sibling says that it has it, or none can be heard at all.
 func (c *Core) Healthy() bool {
-	return c.ready && (c.stateFresh() || c.fresherPeer() == "")
+	return c.ready && (c.stateFresh() || c.fresherPeer() == "" && !c.alone())
+}
+
+// alone reports whether this controller has siblings and hears none of them.
+func (c *Core) alone() bool {
+	for _, p := range c.peers {
+		if c.now.Sub(p.heard) <= peerSilence {
+			return false
+		}
+	}
+	return len(c.set.Siblings) > 0 && c.now.Sub(c.readyAt) > peerSilence
 }
 
 func (c *Core) do(o Output) { c.out = append(c.out, o) }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -74,6 +74,7 @@
 
 	pulling int // images that it is fetching
 
+	sentOn     Time         // when it was told to try another controller
 	told       *wire.Report // what the siblings were last told of it
 	unanswered int          // direct calls without an answer since the last that had one, whatever it reports
 	deafSince  Time         // when the first of them was made
@@ -477,7 +478,7 @@
 		})
 		return
 	}
-	if !c.stateFresh() && c.fresherPeer() != "" {
+	if !c.stateFresh() && (c.fresherPeer() != "" || c.sendsOn(c.machineOf(r.Machine))) {
 		c.hear(r, true)
 		c.sendAway(in.Request)
 		return
@@ -485,6 +486,34 @@
 	c.answerWorker(in)
 }
 
+// sendsOn reports whether a worker is to try another controller. One that has
+// lost the state service and all its siblings cannot tell whether that is an
+// outage, in which its workers' leases hang on it alone, or whether the others
+// are well, and nobody can write down what ends here. So each worker is sent on
+// once: where others are well it stays with them, and if it comes back, having
+// found none, it is kept. It is sent only if its lease lasts for the tour.
+func (c *Core) sendsOn(m *machine) bool {
+	w := &c.set.Cluster.Workers
+	tour := time.Duration(len(c.set.Siblings)) * (workerPatience + workerPause)
+	if !c.alone() || c.now.Sub(c.stateOK) < aloneAfter || m.sentOn > c.stateOK ||
+		tour+config.Seconds(1.25*w.ReportS)+workerPatience > config.Seconds(w.LeaseS) {
+		return false
+	}
+	m.sentOn = c.now
+	c.count(countSentOn, 1)
+	return true
+}
+
+const (
+	// aloneAfter is how long the state service and the siblings must be away
+	// before workers are sent on.
+	aloneAfter = 5 * time.Second
+	// workerPatience and workerPause are how long the protocol has a worker wait
+	// for an answer, and between two controllers.
+	workerPatience = 4 * time.Second
+	workerPause    = time.Second
+)
+
 func (c *Core) sendAway(r RequestID) {
 	c.reply(r, http.StatusMisdirectedRequest, wire.Redirect{Foreman: c.fresherPeer()})
 }
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -35,6 +35,7 @@
 	countCloudLost  = "cloud_calls_unanswered"
 	countHired      = "machines_rented"
 	countNoCapacity = "hires_without_capacity"
+	countSentOn     = "workers_sent_on"
 	countReturned   = "machines_returned_" // + why
 
 	timeAccept = "acceptance"
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -873,6 +873,7 @@
 	promised bool   // within its team's guarantee
 	due      int64  // the next target that it can still meet, in Unix milliseconds
 	late     bool   // not all can be in time, and this one is not among those chosen
+	overdue  bool   // it has waited so long for its first start that it is put off no more
 }
 
 // placing is one pass over what waits.
@@ -957,6 +958,7 @@
 		}
 		w := waiting{job: j, missing: missing, promised: c.within[id]}
 		w.due, w.late = c.due(j)
+		w.overdue = c.waited(j) > overdueAfter && missing.Len() == j.spec.Tasks
 		if j.spec.Together {
 			w.zone = zones[id]
 		}
@@ -969,6 +971,9 @@
 				return d
 			}
 		}
+		if a.overdue || b.overdue {
+			return cmp.Or(-cmp.Compare(btoi(a.overdue), btoi(b.overdue)), cmp.Compare(a.job.at, b.job.at), cmp.Compare(a.job.id, b.job.id))
+		}
 		return cmp.Or(-cmp.Compare(btoi(a.promised), btoi(b.promised)), cmp.Compare(ra, rb),
 			cmp.Compare(btoi(a.late), btoi(b.late)), cmp.Compare(a.due, b.due), cmp.Compare(a.job.at, b.job.at),
 			cmp.Compare(a.job.id, b.job.id))
@@ -980,6 +985,15 @@
 	return queue
 }
 
+// waited is how long ago a job was accepted.
+func (c *Core) waited(j *job) time.Duration { return time.Duration(c.wall-j.at) * time.Millisecond }
+
+// overdueAfter is how long a job may wait for its first start before it goes
+// ahead of all but critical work, whatever its rank, its size and its chances
+// to be in time. Without a bound, a stream of small jobs would put the largest
+// off without end. Users expect them to begin within four minutes.
+const overdueAfter = 100 * time.Second
+
 // giveUpSome marks jobs late when not all can be in time: taking them as they
 // are due, whenever one would be too late, the largest so far is put off. That
 // leaves the most jobs in time. It reports whether it marked any.
@@ -1006,7 +1020,7 @@
 	}
 	for i := range queue {
 		w := &queue[i]
-		if w.late || w.due == never || w.job.spec.Accelerators > 0 {
+		if w.late || w.due == never || w.job.spec.Accelerators > 0 || c.waited(w.job) > overdueAfter {
 			continue
 		}
 		picked = append(picked, i)
@@ -1372,6 +1386,15 @@
 	if j == nil || e.Halt != HaltNo || c.within[e.Job] && !promised {
 		return false
 	}
+	// Old work is not stopped for what is merely of higher rank: it would start
+	// again and again. What saves still gives way to high ranks.
+	least := wire.RankCritical
+	if j.spec.SavepointS > 0 {
+		least = wire.RankHigh
+	}
+	if c.waited(j) > overdueAfter && w.job.spec.Rank.Order() > least.Order() {
+		return false
+	}
 	lower := e.Rank > w.job.spec.Rank.Order()
 	beyond := w.promised && !c.within[e.Job] && j.spec.Team != w.job.spec.Team && e.Rank >= wire.RankNormal.Order()
 	if !lower && !beyond {
--- /dev/null
+++ b/internal/standin/added_test.go
@@ -0,0 +1,224 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+// TestMuteMachine guards against a machine whose reports arrive while nothing
+// reaches it: it looks well, and its lease runs out unseen. What stood on it
+// must run elsewhere, no new work may go there, and it must not be kept.
+func TestMuteMachine(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newWorld(t, seed, 3)
+		spec, _ := job(1, 1)
+		spec.Tasks = 4
+		w.At(2*time.Second, func() { w.Submit(spec, 0) })
+		w.Run(20 * time.Second)
+		var mute *machine
+		for _, m := range w.machines {
+			if len(m.tasks) > 0 {
+				mute = m
+				break
+			}
+		}
+		require.NotNil(t, mute)
+		mute.mute = true
+		for n := range 20 {
+			next, run := job(2+2*n, 0)
+			w.At(time.Duration(8+n)*time.Second, func() { w.Submit(next, run) })
+		}
+		before := mute.launched
+		w.Run(8 * time.Second)
+		require.LessOrEqual(t, mute.launched-before, 0, "new work on a machine that hears nothing")
+		w.Run(22 * time.Second)
+		running := 0
+		w.onMachines(func(m *machine, tk *task) {
+			if m != mute && tk.id.Job == spec.ID {
+				running++
+			}
+		})
+		require.Equal(t, 4, running, "replicas on machines that hear")
+		require.True(t, mute.dead, "the machine was kept")
+		w.Run(60 * time.Second)
+		require.Empty(t, w.Broken)
+		require.Empty(t, w.Unfinished())
+	}
+}
+
+// TestLateReports guards against taking an old report for a new one: copies come
+// up to three leases late, across new sessions, returned machines and
+// controllers that have forgotten which report was the last.
+func TestLateReports(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newWorld(t, seed, 3)
+		w.LateReports = 0.5
+		for n := range 24 {
+			spec, run := job(n, n%8)
+			w.At(time.Duration(2*n)*time.Second, func() { w.Submit(spec, run) })
+			if spec.Shape == wire.ShapeService {
+				w.At(time.Duration(70+n)*time.Second, func() { w.CancelJob(spec.ID) })
+			}
+		}
+		for _, tr := range []trouble{
+			{"hang", 15 * time.Second, 20 * time.Second, 1}, // well over a lease: a new session
+			{"die", 20 * time.Second, 0, 2},
+			{"crash all", 28 * time.Second, 0, 0},
+			{"hang", 45 * time.Second, 20 * time.Second, 0},
+			{"flicker all", 50 * time.Second, 0, 0},
+		} {
+			w.At(tr.at, func() { tr.happen(w) })
+		}
+		w.Run(120 * time.Second)
+		w.LateReports = 0
+		w.Run(50 * time.Second)
+		w.CalmAt = w.Now()
+		w.Run(150 * time.Second)
+		require.Empty(t, w.Broken)
+		require.Empty(t, w.Unfinished(), "%v", w.Records())
+	}
+}
+
+// TestAloneController guards against a controller that has lost the state
+// service and its siblings but not its workers: what ends there cannot be
+// written down, so its workers must find the others while it lasts.
+func TestAloneController(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	for _, m := range w.machines {
+		m.node = 0
+	}
+	for n := range 6 {
+		spec, _ := job(n, 0)
+		spec.Tasks = 2
+		w.At(time.Second, func() { w.Submit(spec, 12*time.Second) })
+	}
+	w.Run(8 * time.Second)
+	w.CutState[0], w.CutPeers[0] = true, true
+	w.Run(40 * time.Second)
+	require.Empty(t, w.Unfinished(), "its workers did not find the others")
+	for _, m := range w.machines {
+		require.EqualValues(t, 1, m.shift, "a lease ran out")
+	}
+	require.Empty(t, w.Broken)
+}
+
+// TestAllAlone guards the leases of workers when there is nobody to send them
+// to: the state service is away and no controller hears another.
+func TestAllAlone(t *testing.T) {
+	w := newWorld(t, 4, 3)
+	w.StateDown = true
+	w.At(0, func() { w.StateDown = false })
+	w.Run(10 * time.Second)
+	w.StateDown = true
+	for i := range w.nodes {
+		w.CutPeers[i] = true
+	}
+	w.Run(60 * time.Second)
+	for _, m := range w.machines {
+		require.EqualValues(t, 1, m.shift, "the lease of %s ran out", m.id)
+	}
+	require.Empty(t, w.Broken)
+}
+
+// TestLargestBegin guards against putting the largest jobs off without end. A
+// stream of small jobs takes more than there is, all of them could be in time,
+// and the objectives make it look best to leave the large ones for later.
+func TestLargestBegin(t *testing.T) {
+	w := newWorld(t, 5, 2)
+	w.Capacity = 0 // nothing to rent
+	set := &w.Settings.Cluster
+	set.Teams = []config.Team{{Name: "blue", CPUs: 4, CPUsMax: 100}, {Name: "red", CPUs: 4, CPUsMax: 100}}
+	set.Objectives = append(set.Objectives, config.Objective{Kind: "finished", Class: "batch", WithinS: 60, Share: 0.9})
+	for i := range w.nodes {
+		w.Start(i)
+	}
+	var large []wire.JobID
+	for n := range 200 {
+		spec, _ := job(n, []int{0, 3}[n%2])
+		spec.Tasks, spec.RuntimeS, spec.Spot = 2, 10, false
+		if n%25 == 24 {
+			spec.Tasks, spec.RuntimeS = 60, 10
+			large = append(large, spec.ID)
+		}
+		w.At(time.Duration(n)*1500*time.Millisecond, func() { w.Submit(spec, 10*time.Second) })
+	}
+	w.Run(200*1500*time.Millisecond + 4*time.Minute)
+	for _, id := range large {
+		after, began := w.Begun(id)
+		require.True(t, began, "%s never began", id)
+		require.LessOrEqual(t, after, 4*time.Minute, "%s began late", id)
+	}
+	require.Empty(t, w.Broken)
+}
+
+// TestFinishedRemembered guards against forgetting what is no longer cached:
+// after every controller started anew, each finished job is still answered, and
+// so is a repeat of its submission.
+func TestFinishedRemembered(t *testing.T) {
+	w := newWorld(t, 6, 2)
+	for n := range 10 {
+		spec, run := job(n, 0)
+		w.At(time.Second, func() { w.Submit(spec, run) })
+		w.At(90*time.Second, func() { w.Submit(spec, run) })
+	}
+	w.Run(60 * time.Second)
+	require.Empty(t, w.Unfinished())
+	for i := range w.nodes {
+		w.Start(i)
+	}
+	w.CalmAt = w.Now()
+	w.Run(100 * time.Second)
+	require.Empty(t, w.Broken)
+}
+
+// TestLimitCountsHalted guards the team's limit against counting only what is to
+// go on: tasks that save before they stop still use what they use.
+func TestLimitCountsHalted(t *testing.T) {
+	for seed := range uint64(4) {
+		w := newWorld(t, seed, 2)
+		w.Settings.Cluster.Teams = []config.Team{{Name: "blue", CPUs: 4, CPUsMax: 8}}
+		for i := range w.nodes {
+			w.Start(i)
+		}
+		for n := range 6 {
+			spec, _ := job(2*n, 3)
+			spec.Tasks, spec.Spot, spec.SavepointS, spec.StashS = 4, false, 3, 6
+			w.At(time.Duration(1+n)*time.Second, func() { w.Submit(spec, 40*time.Second) })
+		}
+		w.Run(15 * time.Second)
+		for _, m := range w.machines {
+			if len(m.tasks) > 0 {
+				m.recall = w.now + 14_000_000_000
+				w.At(14*time.Second, m.vanish)
+				break
+			}
+		}
+		w.Run(60 * time.Second)
+		require.Empty(t, w.Broken)
+	}
+}
+
+// TestPlacedOnlyWithItsJob guards a placement's condition on its job: users
+// cancel while placements of the job are under way to a slow state service. The
+// world holds every record against the jobs there are when it is written.
+func TestPlacedOnlyWithItsJob(t *testing.T) {
+	for seed := range uint64(8) {
+		w := newWorld(t, seed, 3)
+		w.SlowState = 300 * time.Millisecond
+		for n := range 40 {
+			spec, run := job(n, 0)
+			spec.ID = wire.JobID(fmt.Sprintf("wk-%06d", n))
+			at := time.Second + time.Duration(n)*700*time.Millisecond
+			w.At(at, func() { w.Submit(spec, run) })
+			w.At(at+time.Duration(100*(n%12))*time.Millisecond, func() { w.CancelJob(spec.ID) })
+		}
+		w.Run(90 * time.Second)
+		require.Empty(t, w.Broken)
+	}
+}
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -38,6 +38,7 @@
 	dead   bool // gone, or died
 	deadAt core.Time
 	hung   bool
+	mute   bool     // its reports arrive, but nothing reaches it
 	queue  []func() // what arrived while it hung
 
 	shift    wire.Shift
@@ -46,6 +47,7 @@
 	tasks    map[taskKey]*task
 	answered core.Time // when the last answered report was sent
 	node     int
+	launched int // launches it obeyed
 	sending  bool
 	sent     int
 	recall   core.Time
@@ -146,6 +148,9 @@
 	r := m.report()
 	w.toNode(n, func(id core.RequestID) core.Input { return core.Reported{Request: id, Report: r} },
 		func(rep core.Reply) {
+			if m.mute {
+				return
+			}
 			finish(func() {
 				a, ok := rep.Body.(wire.ReportAnswer)
 				if !ok || rep.Status != 200 {
@@ -202,6 +207,7 @@
 
 func (m *machine) launch(o wire.Order) {
 	w := m.w
+	m.launched++
 	t := &task{id: o.Task, attempt: o.Attempt, state: wire.TaskPulling, baton: m.baton}
 	m.tasks[taskKey{o.Task, o.Attempt}] = t
 	j := w.jobs[o.Task.Job]
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"lilacrill/internal/core"
 	"lilacrill/wire"
 )
 
@@ -25,6 +26,9 @@
 // started holds the start of a task against the rules.
 func (w *World) started(m *machine, t *task, j *userJob) {
 	s := &j.spec
+	if j.began == 0 {
+		j.began = w.now
+	}
 	if !j.submitted {
 		w.breaks("invented: start of %v before its submission", t.id)
 	}
@@ -54,6 +58,16 @@
 	}
 }
 
+// unanswered is how long users' questions about a job may go without an answer
+// once all troubles are over.
+const unanswered = 75 * time.Second
+
+// Begun is how long after its submission a job's first task ran.
+func (w *World) Begun(id wire.JobID) (time.Duration, bool) {
+	j := w.jobs[id]
+	return j.began.Sub(j.asked), j.began != 0
+}
+
 // check holds what is on the machines against the rules.
 func (w *World) check() {
 	type use struct{ cores, accel float64 }
@@ -66,6 +80,12 @@
 			w.breaks("ran_cancelled: %v on %s", t.id, m.id)
 		}
 	})
+	for id, j := range w.jobs {
+		if since := max(j.answered, core.Time(w.CalmAt)); w.CalmAt > 0 && j.accepted && w.now.Sub(since) > unanswered {
+			w.breaks("forgotten: no question about %s was answered for %v", id, w.now.Sub(since))
+			j.answered = w.now
+		}
+	}
 	for _, t := range w.Settings.Cluster.Teams {
 		if u := used[t.Name]; u.cores > t.CPUsMax+1e-6 || u.accel > t.GPUsMax+1e-6 {
 			w.breaks("quota: %s uses %v cores, %v accelerators", t.Name, u.cores, u.accel)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -14,7 +14,7 @@
 func (w *World) Submit(spec wire.JobSpec, runtime time.Duration) {
 	j := w.jobs[spec.ID]
 	if j == nil {
-		j = &userJob{spec: spec, runtime: runtime, complete: map[int]bool{}}
+		j = &userJob{spec: spec, runtime: runtime, complete: map[int]bool{}, asked: w.now}
 		w.jobs[spec.ID] = j
 	}
 	var try func()
@@ -62,7 +62,7 @@
 //
 // An answer to a request that was sent before the user knew better may be old.
 func (w *World) tell(j *userJob, asked core.Time, s wire.Status) {
-	j.accepted = true
+	j.accepted, j.answered = true, w.now
 	if j.told.Final() && s != j.told && asked > j.toldAt {
 		w.breaks("went_back: %s was %s and is now %s", j.spec.ID, j.told, s)
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -31,6 +32,11 @@
 	// state service refuses, CutWorkers such that workers do not reach.
 	StateDown, CloudDown bool
 	CutState, CutWorkers map[int]bool
+	// CutPeers names controllers that hear and reach no sibling.
+	CutPeers map[int]bool
+	// LateReports is the part of the reports of which a copy comes late, from
+	// seconds to well over a lease.
+	LateReports float64
 	// NoDirect has workers refuse direct calls from controllers.
 	NoDirect bool
 	// Capacity is how many machines there are of each type, zone and kind.
@@ -38,6 +44,9 @@
 	// SlowState is added to the state service's answers.
 	SlowState time.Duration
 
+	// CalmAt is when the last trouble was over; 0 while some may still come.
+	CalmAt time.Duration
+
 	// Broken is what went against the rules.
 	Broken []string
 
@@ -87,6 +96,9 @@
 	cancelAsk bool
 	told      wire.Status
 	toldAt    core.Time
+	asked     core.Time // when it was first submitted
+	answered  core.Time // when a question about it was last answered
+	began     core.Time // when a task of it first ran
 	complete  map[int]bool
 }
 
@@ -118,7 +130,7 @@
 		GangWait: config.Seconds(set.Cluster.Workers.GangWaitS), GangPeer: config.Seconds(set.Cluster.Workers.GangPeerS),
 		Cancel:   config.Seconds(set.Cluster.Workers.CancelS),
 		Capacity: 3,
-		CutState: map[int]bool{}, CutWorkers: map[int]bool{},
+		CutState: map[int]bool{}, CutWorkers: map[int]bool{}, CutPeers: map[int]bool{},
 		rng: rand.New(rand.NewPCG(seed, 7)), store: NewStore(),
 		byID: map[wire.MachineID]*machine{}, hires: map[string][]wire.MachineID{}, types: types,
 		jobs: map[wire.JobID]*userJob{}, log: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -309,7 +321,12 @@
 	case core.Commit:
 		w.checkLimits(o.Txn)
 		w.state(n, o.Call, core.Committed{Outcome: core.NotDone}, core.Committed{Outcome: core.Unknown}, func() any {
-			return w.store.Multi(o.Txn)
+			before := w.placements(o.Txn)
+			r := w.store.Multi(o.Txn)
+			if r.Outcome == core.Done {
+				w.checkPlacements(o.Txn, before)
+			}
+			return r
 		})
 	case core.Grant:
 		w.state(n, o.Call, core.Granted{Outcome: core.NotDone}, core.Granted{Outcome: core.Unknown}, func() any {
@@ -349,7 +366,7 @@
 		w.direct(n, o.Call, o.Addr, func(m *machine) core.Answered { return core.Answered{Report: m.report()} })
 	case core.Tell:
 		for _, s := range w.nodes {
-			if s != n && s.core != nil && w.rng.Float64() >= w.Loss {
+			if s != n && s.core != nil && !w.CutPeers[n.index] && !w.CutPeers[s.index] && w.rng.Float64() >= w.Loss {
 				line := *o.Line
 				to, togen := s, s.gen
 				w.after(w.latency(), func() {
@@ -383,6 +400,55 @@
 	}
 }
 
+// placements are the attempts in a team's records that a transaction is about
+// to write.
+func (w *World) placements(t wire.Transaction) map[string]bool {
+	out := map[string]bool{}
+	for _, ch := range t.Then {
+		if parts := strings.Split(ch.Put, "/"); strings.HasPrefix(ch.Put, "l/p/") {
+			for _, e := range w.store.List("l/p/" + parts[2] + "/") {
+				for name := range attempts(e.Value) {
+					out[name] = true
+				}
+			}
+		}
+	}
+	return out
+}
+
+// checkPlacements wants every attempt that a transaction adds to be of a job
+// that there is.
+func (w *World) checkPlacements(t wire.Transaction, before map[string]bool) {
+	for _, ch := range t.Then {
+		if !strings.HasPrefix(ch.Put, "l/p/") {
+			continue
+		}
+		for name, id := range attempts(ch.Value) {
+			if _, _, ok := w.store.Get("l/j/" + string(id)); !ok && !before[name] {
+				w.breaks("placed without its job: %s", name)
+			}
+		}
+	}
+}
+
+// attempts are the attempts that a placement record names, with their jobs.
+func attempts(value json.RawMessage) map[string]wire.JobID {
+	var v struct {
+		Groups []struct {
+			Job     wire.JobID   `json:"j"`
+			Attempt wire.Attempt `json:"a"`
+		} `json:"e"`
+	}
+	if err := json.Unmarshal(value, &v); err != nil {
+		panic(err) // the core writes nothing else there
+	}
+	out := map[string]wire.JobID{}
+	for _, g := range v.Groups {
+		out[fmt.Sprint(g.Job, " ", g.Attempt)] = g.Job
+	}
+	return out
+}
+
 func (w *World) load(n *node, o core.Load) {
 	gen := n.gen
 	var r core.Loaded
@@ -511,7 +577,7 @@
 	}
 	w.after(2*time.Second, func() { finish(0, core.Answered{Outcome: core.Unknown}) })
 	m := w.byID[wire.MachineID(addr)]
-	if m == nil || m.dead || w.NoDirect || w.CutWorkers[n.index] {
+	if m == nil || m.dead || m.mute || w.NoDirect || w.CutWorkers[n.index] {
 		return
 	}
 	deliver := func() { m.act(func() { finish(w.latency(), exec(m)) }) }
@@ -527,6 +593,14 @@
 
 // toNode sends a request to a controller.
 func (w *World) toNode(n *node, makeInput func(core.RequestID) core.Input, then func(core.Reply)) {
+	if _, fromWorker := makeInput(0).(core.Reported); fromWorker && w.rng.Float64() < w.LateReports {
+		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(3*w.Lease))), func() {
+			if n.core != nil && !w.CutWorkers[n.index] {
+				n.request++
+				w.step(n, makeInput(n.request))
+			}
+		})
+	}
 	d := w.latency()
 	if w.rng.Float64() < w.Loss {
 		if w.rng.IntN(2) == 0 {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -87,7 +87,7 @@
 }
 
 var troubleKinds = []string{"crash", "crash all", "flicker", "state down", "state cut", "worker cut", "cloud down",
-	"hang", "die", "notice", "slow state", "faulty"}
+	"hang", "die", "notice", "slow state", "faulty", "mute", "alone", "flicker all"}
 
 func (tr trouble) happen(w *World) {
 	n := tr.who % len(w.nodes)
@@ -111,6 +111,21 @@
 	case "flicker":
 		w.Start(n)
 		w.At(300*time.Millisecond, func() { w.Start(n) })
+	case "flicker all":
+		// All are back within a fraction of a second, and some again while the
+		// others still choose stewards, buyer and launchers.
+		for i := range w.nodes {
+			w.Start(i)
+			w.At(time.Duration(200+150*i)*time.Millisecond, func() { w.Start(i) })
+		}
+	case "alone":
+		w.CutState[n], w.CutPeers[n] = true, true
+		w.At(tr.last, func() { delete(w.CutState, n); delete(w.CutPeers, n) })
+	case "mute":
+		if m := machine(); m != nil {
+			m.mute = true
+			w.At(2*tr.last, func() { m.mute = false })
+		}
 	case "state down":
 		w.StateDown = true
 		w.At(tr.last, func() { w.StateDown = false; w.store.RenewAll(w.now) })
@@ -151,6 +166,7 @@
 func play(t *rapid.T) *World {
 	w := newWorld(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 3).Draw(t, "controllers"))
 	w.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.08}).Draw(t, "loss")
+	w.LateReports = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "late")
 	for n := range rapid.IntRange(4, 24).Draw(t, "jobs") {
 		spec, run := job(n, rapid.IntRange(0, 7).Draw(t, "kind"))
 		at := time.Duration(rapid.IntRange(0, 60).Draw(t, "at")) * time.Second
@@ -168,7 +184,9 @@
 	w.At(30*time.Second, func() { w.AskUnknown("wk-999999") })
 	w.Run(130 * time.Second)
 	w.Loss = 0
-	w.Run(300 * time.Second)
+	w.Run(50 * time.Second) // the last late copies and the last trouble
+	w.CalmAt = w.Now()
+	w.Run(250 * time.Second)
 	return w
 }
 
