--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -160,7 +160,7 @@
 
 func (c *Core) viewMachines() []wire.AdminMachine {
 	out := []wire.AdminMachine{}
-	for _, id := range sortedKeys(c.machines) {
+	for _, id := range c.inOrder() {
 		m := c.machines[id]
 		if m.gone {
 			continue
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -62,6 +62,7 @@
 	job      *job
 	count    int
 	promised bool
+	zone     string // where they must be, or ""
 }
 
 func (v *cloudView) init() {
@@ -301,7 +302,7 @@
 		return
 	}
 	var coming placement.Fleet
-	for _, id := range sortedKeys(c.machines) {
+	for _, id := range c.inOrder() {
 		if m := c.machines[id]; c.coming(m) {
 			o := capacity.Offer{Type: *c.kind(m.kind), Zone: m.zone, Spot: m.spot}
 			coming = append(coming, o.Host(m.id, maxPerHost))
@@ -309,7 +310,7 @@
 	}
 	var demands []capacity.Demand
 	for _, d := range c.backlog {
-		demands = append(demands, capacity.Demand{Request: d.job.req, Count: d.count})
+		demands = append(demands, capacity.Demand{Request: d.job.req, Count: d.count, Zone: d.zone})
 	}
 	if c.lacking > 0 {
 		for _, s := range c.spares() {
@@ -397,7 +398,7 @@
 	// Many silent at once, and no sibling that hears them: it may be us who is
 	// cut off.
 	cutOff := silent > 2 && 3*silent > reporting && !c.siblingsWell()
-	for _, id := range sortedKeys(c.machines) {
+	for _, id := range c.inOrder() {
 		m := c.machines[id]
 		if _, going := c.dooms[id]; m.gone || c.dooming[id] != "" || going {
 			continue
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -18,6 +18,7 @@
 // fleet is what this controller knows of the machines.
 type fleet struct {
 	machines    map[wire.MachineID]*machine
+	ordered     []wire.MachineID
 	imagesNoted map[wire.MachineID][]string // as the state service has them
 	imageShards map[int]map[wire.MachineID][]string
 	nextShard   int
@@ -122,11 +123,20 @@
 			lacking:   map[attemptKey]Time{},
 		}
 		c.machines[id] = m
+		c.ordered = nil
 		c.recallImages(m)
 	}
 	return m
 }
 
+// inOrder is the machines by name. It must not be changed.
+func (c *Core) inOrder() []wire.MachineID {
+	if c.ordered == nil {
+		c.ordered = sortedKeys(c.machines)
+	}
+	return c.ordered
+}
+
 // running counts an entry's tasks that the newest report shows running.
 func (m *machine) running(e *Entry) int {
 	n := 0
@@ -207,7 +217,6 @@
 			}
 		}
 		c.dirty = true
-		c.urgent = c.urgent || c.criticalWaits
 	}
 	if m.newest != nil && !r.Newer(m.newest) {
 		return
@@ -410,7 +419,7 @@
 	c.nextShard = (c.nextShard + 1) % imageShards
 	shard := c.nextShard
 	noted, size := map[wire.MachineID][]string{}, 0
-	for _, id := range sortedKeys(c.machines) {
+	for _, id := range c.inOrder() {
 		m := c.machines[id]
 		if m.newest == nil || m.gone || shardOf(id) != shard || len(m.images) == 0 {
 			continue
@@ -753,11 +762,12 @@
 	c.sound()
 	uncleared, oldest := 0, false
 	deaf, reporting := 0, 0
-	for _, id := range sortedKeys(c.machines) {
+	for _, id := range c.inOrder() {
 		m := c.machines[id]
 		if m.gone || c.now.Sub(c.lastSign(m)) > forgetAfter && c.now.Sub(m.listed) > forgetAfter {
 			if len(c.onMachine[id]) == 0 && (!m.gone || c.now.Sub(m.goneAt) > forgetAfter) {
 				delete(c.machines, id)
+				c.ordered = nil
 			}
 			continue
 		}
@@ -812,7 +822,7 @@
 	}
 	c.nextSound = c.now.Add(soundEvery)
 	var known []*machine
-	for _, id := range sortedKeys(c.machines) {
+	for _, id := range c.inOrder() {
 		if m := c.machines[id]; m.addr != "" && !m.gone && !m.showing && c.now.Sub(m.heard) < forgetAfter && m.newest != nil {
 			known = append(known, m)
 		}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -50,9 +50,10 @@
 }
 
 const (
-	// planEvery bounds what planning costs; urgent work does not wait for it.
-	planEvery = 50 * time.Millisecond
-	idlePlan  = 500 * time.Millisecond
+	// planEvery and planPerMachine bound what planning costs.
+	planEvery      = 30 * time.Millisecond
+	planPerMachine = 60 * time.Microsecond
+	idlePlan       = 500 * time.Millisecond
 	// firstTime is how long the placement of a new job is left to the controller
 	// that accepted it.
 	firstTime = 500 * time.Millisecond
@@ -63,8 +64,7 @@
 	reportSlack = 2 * time.Second
 	maxPerHost  = 300
 	maxTxnBytes = 40 << 10 // leaves room for two more pages under the 64 KiB of a transaction
-	// restEvery is how often what can wait is planned at most: planning costs
-	// in proportion to the fleet.
+	// restEvery is how often what can wait is planned at most.
 	restEvery = 250 * time.Millisecond
 )
 
@@ -177,7 +177,7 @@
 // plan runs one pass over all that waits, if there is reason to. What can wait
 // gathers until this controller's share of the writes allows another round.
 func (c *Core) plan() {
-	if !c.ready || !c.whole() || !c.stateFresh() || !c.urgent && !c.after(c.nextPlan) {
+	if !c.ready || !c.whole() || !c.stateFresh() || !c.after(c.nextPlan) {
 		return
 	}
 	// What stood on machines that are gone is not made to wait.
@@ -188,9 +188,11 @@
 	c.lostSome = false
 	c.dirty = !rest // what could not be looked at now is looked at later
 	c.urgent = false
-	c.nextPlan = c.now.Add(planEvery)
+	// A pass costs in proportion to the fleet.
+	pause := planEvery + time.Duration(len(c.machines))*planPerMachine
+	c.nextPlan = c.now.Add(pause)
 	if rest {
-		c.nextRest = c.now.Add(restEvery)
+		c.nextRest = c.now.Add(max(restEvery, 2*pause))
 	}
 	rounds := map[string]*round{}
 	for _, name := range sortedKeys(c.teams) {
@@ -502,7 +504,7 @@
 // drain stops tasks on machines that the cloud is about to take, as late as
 // they can still save.
 func (c *Core) drain(rounds map[string]*round) {
-	for _, id := range sortedKeys(c.machines) {
+	for _, id := range c.inOrder() {
 		m := c.machines[id]
 		if m.recallAt == 0 {
 			continue
@@ -764,15 +766,17 @@
 // hosts builds the fleet as placement sees it: what is on the machines by the
 // records, with the rounds that are being written.
 func (c *Core) hosts(rounds map[string]*round, visit func(*page, *Entry, *placement.Host)) (placement.Fleet, map[wire.MachineID]*placement.Host) {
+	room := make([]placement.Host, len(c.machines))
 	fleet := make(placement.Fleet, 0, len(c.machines))
 	byID := make(map[wire.MachineID]*placement.Host, len(c.machines))
-	for _, id := range sortedKeys(c.machines) {
+	for i, id := range c.inOrder() {
 		m := c.machines[id]
 		t := c.kind(m.kind)
 		if t == nil || m.newest == nil || m.gone {
 			continue
 		}
-		h := &placement.Host{ID: id, Labels: c.labelsOf(m), Total: amountOf(t), Closed: !c.usable(m),
+		h := &room[i]
+		*h = placement.Host{ID: id, Labels: c.labelsOf(m), Total: amountOf(t), Closed: !c.usable(m),
 			Free: amountOf(t), Slots: maxPerHost, Images: m.has, Price: t.Rate, Pulling: m.pulling}
 		if m.spot {
 			h.Price = t.MarketPrice
@@ -783,6 +787,11 @@
 		fleet = append(fleet, h)
 		byID[id] = h
 	}
+	// Entries of one job mostly stand together.
+	var last wire.JobID
+	var j *job
+	var tags placement.Tags
+	within := false
 	c.planned(rounds, func(p *page, e *Entry) {
 		h := byID[e.Machine]
 		if h == nil {
@@ -791,22 +800,24 @@
 			byID[e.Machine] = h
 			fleet = append(fleet, h)
 		}
+		if e.Job != last {
+			last, j, within = e.Job, c.jobs[e.Job], c.within[e.Job]
+			if j != nil {
+				tags = j.req.Tags
+			} else {
+				tags = e.tags()
+			}
+		}
 		n := e.Tasks.Len()
 		h.Free = h.Free.Plus(e.need(), -float64(n))
 		h.Slots -= n
-		g := placement.Group{Team: p.team, Count: n}
-		j := c.jobs[e.Job]
-		if j != nil {
-			g.Tags = j.req.Tags
-		} else {
-			g.Tags = e.tags()
-		}
+		g := placement.Group{Team: p.team, Tags: tags, Count: n}
 		if e.Halt != HaltNo || j == nil {
 			h.Freeing = h.Freeing.Plus(e.need(), float64(n))
 			g.Stopping = true
 		} else {
 			h.Ranks |= 1 << e.Rank
-			h.Beyond = h.Beyond || e.Rank >= wire.RankNormal.Order() && !c.within[e.Job]
+			h.Beyond = h.Beyond || e.Rank >= wire.RankNormal.Order() && !within
 		}
 		h.Groups = append(h.Groups, g)
 		visit(p, e, h)
@@ -897,12 +908,26 @@
 	stopping bool // others
 }
 
+// concerns reports whether anything waits that this controller answers for. The
+// buyer also has to know what else does, and whether enough room is kept free.
+func (c *Core) concerns(rest bool) bool {
+	if rest && c.buyer == c.boot {
+		return true
+	}
+	for id, j := range c.jobs {
+		if (rest || j.spec.Rank == wire.RankCritical) && j.done.Len()+c.placedOf(id) < j.spec.Tasks && c.places(j) {
+			return true
+		}
+	}
+	return false
+}
+
 // place gives waiting tasks machines. It plans for all teams, so that what this
 // controller places leaves room for more urgent work that others will place,
 // and writes only for those that it answers for. Without rest it looks at
 // critical work alone.
 func (c *Core) place(rounds map[string]*round, rest bool) {
-	if len(c.catalogue) == 0 {
+	if len(c.catalogue) == 0 || !c.concerns(rest) {
 		return
 	}
 	p := &placing{rounds: rounds, used: map[string]placement.Amount{}, own: map[wire.JobID][]*placement.Host{},
@@ -1316,6 +1341,14 @@
 // freed, or have less urgent work stopped, or else stand in the backlog that
 // the buyer sees.
 func (c *Core) wanting(p *placing, w *waiting, count int) {
+	if j := w.job; j.spec.Tasks > 1 && (j.spec.Shape == wire.ShapeGang || j.spec.Together && w.zone == "") {
+		zone, lacking := c.gather(p, w, count)
+		j.why = "not enough machines that fit have room at once"
+		if lacking > 0 {
+			c.backlog = append(c.backlog, demand{job: j, count: lacking, promised: w.promised, zone: zone})
+		}
+		return
+	}
 	stop := search{w.job.spec.Team, w.job.spec.Rank.Order(), w.job.spec.Spot, w.promised, true}
 	if !p.hopeless(stop, w.job) {
 		count = c.awaitRoom(p, w, count, func(*placement.Host) bool { return true })
@@ -1329,6 +1362,80 @@
 	}
 }
 
+// gather gets room ready for tasks that start at once or share a zone, which
+// cannot be had one by one: in the zone (for those that need one) that comes
+// closest, it has less urgent work stopped if that is all it takes, and keeps
+// for them what is free or being freed, so that smaller work does not nibble it
+// away. It returns that zone and how many tasks still lack room there.
+func (c *Core) gather(p *placing, w *waiting, count int) (string, int) {
+	j := w.job
+	need := j.req.Need
+	rd := p.fleet.Reading(p.own[j.id])
+	type room struct {
+		host      *placement.Host
+		now, most int // tasks that there will be room for, and if others are stopped
+	}
+	rooms, now, most := map[string][]room{}, map[string]int{}, map[string]int{}
+	lower := ^uint8(0) << (j.spec.Rank.Order() + 1)
+	for _, h := range p.fleet {
+		if h.Closed || !h.Total.Covers(need) || !rd.Holds(j.req.Enforced, j.spec.Team, h) {
+			continue
+		}
+		free := h.Free.Plus(h.Freeing, 1)
+		r := room{host: h, now: free.Times(need, count)}
+		if h.Ranks&lower != 0 || w.promised && h.Beyond {
+			for _, e := range c.onMachine[h.ID] {
+				if c.preemptable(p.rounds, e, w, false) {
+					free = free.Plus(e.need(), float64(e.Tasks.Len()))
+				}
+			}
+		}
+		if r.most = free.Times(need, count); r.most > 0 {
+			z := ""
+			if j.spec.Together {
+				z = h.Labels[placement.LabelZone]
+			}
+			rooms[z], now[z], most[z] = append(rooms[z], r), now[z]+r.now, most[z]+r.most
+		}
+	}
+	zones := []string{""}
+	if j.spec.Together {
+		zones = c.set.Cluster.Zones
+	}
+	best := slices.MaxFunc(zones, func(a, b string) int {
+		return cmp.Or(cmp.Compare(min(now[a], count), min(now[b], count)), cmp.Compare(min(most[a], count), min(most[b], count)),
+			cmp.Compare(c.openOffers(j, a), c.openOffers(j, b)))
+	})
+	left := count
+	stops := most[best] >= count && c.places(j)
+	slices.SortFunc(rooms[best], func(a, b room) int {
+		return cmp.Or(-cmp.Compare(a.now, b.now), cmp.Compare(a.host.ID, b.host.ID))
+	})
+	for _, r := range rooms[best] {
+		for n := 0; n < r.most && left > 0; n++ {
+			if n >= r.now && (!stops || !c.makeRoom(p.rounds, r.host, w, false)) {
+				break
+			}
+			r.host.Free = r.host.Free.Plus(need, -1)
+			left--
+		}
+	}
+	return best, left
+}
+
+// openOffers counts the machine types that a job can use and that the cloud has
+// not refused lately in a zone.
+func (c *Core) openOffers(j *job, zone string) int {
+	n := 0
+	for _, o := range c.offers() {
+		h := o.Host("", 1)
+		if (zone == "" || o.Zone == zone) && h.Total.Covers(j.req.Need) && (placement.Fleet{h}).Holds(j.req.Enforced, j.spec.Team, h) {
+			n++
+		}
+	}
+	return n
+}
+
 // preempt stops tasks to make room and returns how many tasks still have none.
 // Work within its team's guarantee is stopped only where nothing else will do,
 // and only for urgent work.
