--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -276,11 +276,14 @@
 
 // spend takes writes off what this controller may write by now.
 func (c *Core) spend(writes int) {
-	rate := writeShare * c.share() * c.set.Cluster.State.WriteRPS
+	rate := c.writeRate()
 	c.budget = min(max(rate, 1), c.budget+rate*c.now.Sub(c.budgetAt).Seconds()) - float64(writes)
 	c.budgetAt = c.now
 }
 
+// writeRate is how many writes a second this controller may make.
+func (c *Core) writeRate() float64 { return writeShare * c.share() * c.set.Cluster.State.WriteRPS }
+
 // affords reports whether writes that can wait may be made now: they gather
 // while there is nothing left, and go in fewer and larger rounds.
 func (c *Core) affords() bool {
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -39,6 +39,7 @@
 
 	barrierOpen bool
 	barrierFrom Time            // not before, so that users who ask do not use up the tokens
+	accepting   int             // submissions being written
 	waiting     []func(ok bool) // served by the barrier in flight
 	queued      []func(ok bool) // served by the one after it
 }
@@ -413,6 +414,8 @@
 		c.took(timeCommit, c.now.Sub(sent))
 		c.outcome(r.Outcome, countStateNot, countStateLost)
 		switch r.Outcome {
+		case NotDone:
+			c.spend(-len(txn.Then)) // no tokens were used
 		case Done:
 			c.stateOK = c.now
 			c.written = max(c.written, r.Ledger)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"lilacrill/internal/config"
 	"lilacrill/internal/placement"
 	"lilacrill/wire"
 )
@@ -14,6 +15,10 @@
 	submitPatience = 1500 * time.Millisecond
 	comeBack       = time.Second
 	comeBackLater  = 2 * time.Second
+	// acceptAhead is how much of this controller's writes submissions may have in
+	// line, and acceptLeast how many of them in any case.
+	acceptAhead = 800 * time.Millisecond
+	acceptLeast = 4
 )
 
 func (c *Core) reply(r RequestID, status int, body any) {
@@ -84,6 +89,13 @@
 // state service be lost, the user's retry finds the job or writes it again.
 func (c *Core) accept(in Submitted) {
 	id := in.Spec.ID
+	if rate := c.writeRate(); float64(c.accepting) >= max(acceptLeast, rate*acceptAhead.Seconds()) {
+		// More would only wait in line until their users ask again.
+		c.refuse(in.Request, http.StatusServiceUnavailable, "too many submissions at once",
+			comeBack+config.Seconds(float64(c.accepting)/rate))
+		return
+	}
+	c.accepting++
 	open, asked := true, c.now
 	c.timeouts = append(c.timeouts, timeout{c.now.Add(submitPatience), func() {
 		if open {
@@ -95,6 +107,7 @@
 		If:   []wire.Condition{{Key: jobKey(id)}, {Key: finalKey(id)}},
 		Then: []wire.Change{put(jobKey(id), jobRecord{Spec: in.Spec, At: c.wall, By: c.boot})},
 	}, func(r Committed) {
+		c.accepting--
 		if r.Outcome == Done {
 			c.count(countAccepted, 1)
 			c.took(timeAccept, c.now.Sub(asked))
