--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -19,6 +19,7 @@
 	criticalWaits bool
 	nextPlan      Time
 	nextRest      Time
+	nextSurvey    Time
 	nextLook      Time
 	lastBump      Time
 	nextSweep     Time
@@ -53,7 +54,9 @@
 	// planEvery and planPerMachine bound what planning costs.
 	planEvery      = 30 * time.Millisecond
 	planPerMachine = 60 * time.Microsecond
-	idlePlan       = 500 * time.Millisecond
+	// surveyEvery is how often the buyer looks at what waits at least.
+	surveyEvery = time.Second
+	idlePlan    = 500 * time.Millisecond
 	// firstTime is how long the placement of a new job is left to the controller
 	// that accepted it.
 	firstTime = 500 * time.Millisecond
@@ -182,17 +185,23 @@
 	}
 	// What stood on machines that are gone is not made to wait.
 	rest := c.lostSome || c.after(c.nextRest) && c.affords()
+	if !rest && c.buyer == c.boot && c.after(c.nextSurvey) {
+		// What waits must be bought for even while nothing can be written.
+		c.nextSurvey = c.now.Add(surveyEvery)
+		c.nextPlan = c.now.Add(c.planPause())
+		c.place(map[string]*round{}, true)
+		return
+	}
 	if !rest && !c.urgent || !c.dirty && !c.after(c.nextPlan.Add(idlePlan)) {
 		return
 	}
 	c.lostSome = false
 	c.dirty = !rest // what could not be looked at now is looked at later
 	c.urgent = false
-	// A pass costs in proportion to the fleet.
-	pause := planEvery + time.Duration(len(c.machines))*planPerMachine
-	c.nextPlan = c.now.Add(pause)
+	c.nextPlan = c.now.Add(c.planPause())
 	if rest {
-		c.nextRest = c.now.Add(max(restEvery, 2*pause))
+		c.nextRest = c.now.Add(max(restEvery, 2*c.planPause()))
+		c.nextSurvey = c.now.Add(surveyEvery)
 	}
 	rounds := map[string]*round{}
 	for _, name := range sortedKeys(c.teams) {
@@ -229,6 +238,12 @@
 	}
 }
 
+// planPause is the least time between passes, which cost in proportion to the
+// fleet.
+func (c *Core) planPause() time.Duration {
+	return planEvery + time.Duration(len(c.machines))*planPerMachine
+}
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for k := range m {
