--- a/cmd/lilacrill/main_test.go
+++ b/cmd/lilacrill/main_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,8 +28,13 @@
 // asserted of how fast it comes.
 const patient = time.Minute
 
+// loopbacks counts the loopback addresses that were handed out.
+var loopbacks atomic.Int32
+
+// freeAddr is an address of its own, on which no other listener and no outgoing
+// connection can come to take the port between the look for it and its use.
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := net.Listen("tcp4", fmt.Sprintf("127.77.0.%d:0", loopbacks.Add(1)))
 	require.NoError(t, err)
 	defer ln.Close()
 	return ln.Addr().String()
