--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -85,14 +85,70 @@
 	}
 }
 
+// TestLateReportsOfTheDead guards against keeping a dead machine alive: copies of
+// its reports go on coming, and its replicas must run elsewhere all the same.
+func TestLateReportsOfTheDead(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newWorld(t, seed, 2)
+		w.LateReports = 1
+		spec, _ := job(1, 1)
+		spec.Tasks = 3
+		w.At(2*time.Second, func() { w.Submit(spec, 0) })
+		w.Run(40 * time.Second)
+		var dead *machine
+		w.onMachines(func(m *machine, _ *task) { dead = m })
+		require.NotNil(t, dead)
+		dead.vanish()
+		if seed%2 == 1 {
+			w.Start(0) // it no longer knows which report was the last
+			w.Start(1)
+		}
+		w.Run(25 * time.Second)
+		running := 0
+		w.onMachines(func(*machine, *task) { running++ })
+		require.Equal(t, 3, running, "replicas")
+		require.Empty(t, w.Broken)
+	}
+}
+
+// TestTwoPlaceAtOnce guards the condition on the heads of all zones: two
+// controllers that know of different machines, since none hears the others,
+// place the same task in different zones while the state service is slow.
+func TestTwoPlaceAtOnce(t *testing.T) {
+	for seed := range uint64(8) {
+		w := newWorld(t, seed, 3)
+		w.SlowState = 700 * time.Millisecond
+		for i := range w.nodes {
+			w.CutPeers[i] = true
+		}
+		w.NoDirect = true
+		for i, m := range w.machines {
+			m.node = i % 3
+		}
+		for n := range 12 {
+			spec, _ := job(n, 1)
+			spec.Tasks = 1
+			w.At(time.Duration(6+n)*time.Second, func() { w.Submit(spec, 0) })
+		}
+		w.Run(60 * time.Second)
+		require.Empty(t, w.Broken)
+	}
+}
+
 // TestAloneController guards against a controller that has lost the state
 // service and its siblings but not its workers: what ends there cannot be
 // written down, so its workers must find the others while it lasts.
 func TestAloneController(t *testing.T) {
 	w := newWorld(t, 3, 3)
+	w.Lease = 25 * time.Second
+	w.Settings.Cluster.Workers.LeaseS = 25
+	for i := range w.nodes {
+		w.Start(i)
+	}
 	for _, m := range w.machines {
 		m.node = 0
 	}
+	w.At(8*time.Second, func() { w.NoDirect = true }) // nobody else can ask them
 	for n := range 6 {
 		spec, _ := job(n, 0)
 		spec.Tasks = 2
@@ -112,8 +168,11 @@
 // to: the state service is away and no controller hears another.
 func TestAllAlone(t *testing.T) {
 	w := newWorld(t, 4, 3)
-	w.StateDown = true
-	w.At(0, func() { w.StateDown = false })
+	w.Lease = 25 * time.Second
+	w.Settings.Cluster.Workers.LeaseS = 25
+	for i := range w.nodes {
+		w.Start(i)
+	}
 	w.Run(10 * time.Second)
 	w.StateDown = true
 	for i := range w.nodes {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -171,7 +171,9 @@
 		spec, run := job(n, rapid.IntRange(0, 7).Draw(t, "kind"))
 		at := time.Duration(rapid.IntRange(0, 60).Draw(t, "at")) * time.Second
 		w.At(at, func() { w.Submit(spec, run) })
-		if spec.Shape == wire.ShapeService || rapid.IntRange(0, 5).Draw(t, "cancelled") == 0 {
+		// Some services are left running, so that there is something to ask about.
+		cancelled := rapid.IntRange(0, 5).Draw(t, "cancelled")
+		if spec.Shape == wire.ShapeService && cancelled < 4 || cancelled == 0 {
 			w.At(at+time.Duration(rapid.IntRange(0, 90).Draw(t, "cancel"))*time.Second, func() { w.CancelJob(spec.ID) })
 		}
 	}
