--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -36,8 +36,9 @@
 // plannerTeam is what the planner keeps of a team.
 type plannerTeam struct {
 	writing   *round
-	notBefore Time                    // no round before
-	proofFrom Time                    // when proofs may be written here though another is the steward
+	notBefore Time // no round before
+	proofFrom Time // when proofs may be written here though another is the steward
+	lastTurn  Time
 	placeFrom Time                    // no placements before: after lost writes
 	tries     int                     // lost writes in a row
 	firstTry  Time                    // when the first of them was sent
@@ -132,11 +133,13 @@
 	conds  map[string]wire.Ledger
 	places bool
 	urgent bool // it places critical tasks
-	bump   bool
-	skip   map[wire.MachineID]bool
-	tell   map[wire.MachineID]bool // machines with new orders afterwards
-	ops    int
-	bytes  int
+	// urgentOnly says that it is not this team's turn for anything else.
+	urgentOnly bool
+	bump       bool
+	skip       map[wire.MachineID]bool
+	tell       map[wire.MachineID]bool // machines with new orders afterwards
+	ops        int
+	bytes      int
 }
 
 func (c *Core) newRound(t *team) *round {
@@ -195,7 +198,6 @@
 	if !rest && !c.urgent || !c.dirty && !c.after(c.nextPlan.Add(idlePlan)) {
 		return
 	}
-	c.lostSome = false
 	c.dirty = !rest // what could not be looked at now is looked at later
 	c.urgent = false
 	c.nextPlan = c.now.Add(c.planPause())
@@ -203,39 +205,89 @@
 		c.nextRest = c.now.Add(max(restEvery, 2*c.planPause()))
 		c.nextSurvey = c.now.Add(surveyEvery)
 	}
-	rounds := map[string]*round{}
+	rounds := c.turnOf(rest)
+	if rest {
+		c.endJobs(rounds)
+		c.mendGangs(rounds)
+		c.drain(rounds)
+	}
+	// Critical work waits for no turn.
 	for _, name := range sortedKeys(c.teams) {
+		if t := c.teams[name]; rounds[name] == nil && t.writing == nil && c.after(t.notBefore) {
+			rounds[name] = c.newRound(t)
+			rounds[name].urgentOnly = true
+		}
+	}
+	c.place(rounds, rest)
+	wrote := false
+	for _, name := range sortedKeys(rounds) {
+		if r := rounds[name]; !r.empty() {
+			c.write(r)
+			wrote = true
+		}
+	}
+	if !wrote {
+		c.nextRest = c.nextPlan
+	}
+}
+
+// turnOf starts rounds for the teams whose turn it is. A round is made when it
+// can be written at once: one that waits in line for its tokens is based on
+// what is no longer so, and is lost. So teams take turns, unless machines are
+// gone with what stood on them.
+func (c *Core) turnOf(rest bool) map[string]*round {
+	rounds := map[string]*round{}
+	if !rest {
+		return rounds
+	}
+	names := sortedKeys(c.teams)
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(c.teams[a].lastTurn, c.teams[b].lastTurn) })
+	for _, name := range names {
 		t := c.teams[name]
 		if t.writing != nil || !c.after(t.notBefore) {
 			continue
 		}
 		r := c.newRound(t)
-		rounds[name] = r
-		if !rest {
-			continue
-		}
 		c.takeProofs(r)
 		switch {
 		case r.empty() || c.mine(name):
 			t.proofFrom = 0
 		case t.proofFrom == 0:
 			t.proofFrom = c.now.Add(proofTime)
-			fallthrough
+			continue
 		case !c.after(t.proofFrom):
-			rounds[name] = c.newRound(t)
+			continue
+		}
+		if r.empty() && !c.awaits(name) {
+			continue
+		}
+		rounds[name] = r
+		t.lastTurn = c.now
+		if !c.lostSome {
+			c.dirty = true // others may wait for their turn
+			break
 		}
 	}
-	if rest {
-		c.endJobs(rounds)
-		c.mendGangs(rounds)
-		c.drain(rounds)
+	c.lostSome = false
+	return rounds
+}
+
+// awaits reports whether a team has something that is this controller's to do:
+// tasks without a machine, or whatever else its steward looks after.
+func (c *Core) awaits(team string) bool {
+	mine := c.mine(team)
+	if mine && slices.ContainsFunc(c.inOrder(), func(id wire.MachineID) bool { return c.machines[id].recallAt != 0 }) {
+		return true
 	}
-	c.place(rounds, rest)
-	for _, name := range sortedKeys(rounds) {
-		if r := rounds[name]; !r.empty() {
-			c.write(r)
+	for id, j := range c.jobs {
+		if j.spec.Team != team {
+			continue
+		}
+		if done := j.done.Len(); mine && done >= j.spec.Tasks || done+c.placedOf(id) < j.spec.Tasks && c.places(j) {
+			return true
 		}
 	}
+	return false
 }
 
 // planPause is the least time between passes, which cost in proportion to the
@@ -259,8 +311,9 @@
 	for _, key := range sortedKeys(r.team.pages) {
 		p := r.team.pages[key]
 		for i := range p.entries {
-			if !c.fits(r, 4) {
-				return
+			// Room is left for the pages of the zones that it may place in.
+			if !c.fits(r, 3+len(c.set.Cluster.Zones)) && (r.pages[key] == nil || !c.fits(r, 3)) {
+				break
 			}
 			c.takeProof(r, p, &p.entries[i])
 		}
@@ -746,11 +799,17 @@
 
 func (c *Core) addTo(r *round, zone string, e Entry, not string) bool {
 	t := r.team
-	for n := 0; ; n++ {
+	first := 0
+	if e.Shape == wire.ShapeService {
+		// Replicas stay for long. On pages of their own they are not written over
+		// and over with what comes and goes by the second.
+		first = 1
+	}
+	for n := first; ; n++ {
 		key := pageKey(t.name, zone, n)
 		p := t.pages[key]
 		if p == nil {
-			if n < t.count[zone] {
+			if n > 1 && n < t.count[zone] {
 				return false // a page that we have not read
 			}
 			p = &page{key: key, team: t.name, zone: zone, n: n, size: pageRoom}
@@ -1160,7 +1219,8 @@
 	}
 	r := p.rounds[team]
 	t := c.teamOf(team)
-	act := r != nil && t.writing == nil && c.after(t.placeFrom) && c.places(j) && c.fits(r, 5)
+	act := r != nil && (!r.urgentOnly || j.spec.Rank == wire.RankCritical) &&
+		t.writing == nil && c.after(t.placeFrom) && c.places(j) && c.fits(r, 0)
 	if p.own[j.id] == nil {
 		p.own[j.id] = []*placement.Host{} // none is known, rather than nothing
 	}
@@ -1194,7 +1254,7 @@
 			e := Entry{head: head{Job: j.id, Attempt: attempt, Launcher: c.boot,
 				Cores: j.spec.Cores, Accelerators: j.spec.Accelerators, MemGB: j.spec.MemGB,
 				Rank: j.spec.Rank.Order(), Shape: j.spec.Shape}, Machine: m.id, Shift: m.newest.Shift, Tasks: tasks}
-			if !c.fits(r, 1) || !c.add(r, m.zone, e) {
+			if !c.fits(r, 0) || !c.add(r, m.zone, e) {
 				act = false
 				if whole {
 					// A gang is placed as a whole or not at all.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -193,27 +193,29 @@
 	})
 }
 
-// What parts of a page's value take at most, beyond the names in them.
+// What parts of a page's value take beyond what stands in them.
 const (
 	pageRoom = len(`{"e":[],"d":{}}`)
-	headRoom = 180 + doneRoom
-	onesRoom = len(`"",`) + len(`16777216,`) + len(`[],`)
-	doneRoom = len(`"":[],`)
+	onesRoom = len(`"",`) + len(`,`) + len(`,`)
+	doneRoom = len(`"":,`)
 )
 
-// room is the most that an entry can come to take on its page, beside the head.
-// A task takes the same at most whether it stands in its entry or among those
-// done: of many, two in three, in pairs, take "[98,99]," each.
+// room is what an entry takes on its page, beside the head.
 func (e *Entry) room() int {
-	return onesRoom + len(e.Machine) + e.Tasks.Len()*(len(strconv.Itoa(e.Tasks.last()))+2)
+	return onesRoom + len(e.Machine) + len(strconv.FormatUint(uint64(e.Shift), 10)) + e.Tasks.room()
 }
 
+// room is what a head takes with the empty lists after it.
+func (h *head) room() int { return len(encode(group{head: *h})) + len(`,`) }
+
 // roomAfter is what an entry adds to a page that ends with the entries before.
+// As its tasks end one by one they come to take a little more, on the part of
+// the page that new entries leave free.
 func (e *Entry) roomAfter(before []Entry) int {
 	if k := len(before); k > 0 && before[k-1].head == e.head {
 		return e.room()
 	}
-	return e.room() + headRoom + 2*len(e.Job)
+	return e.room() + e.head.room()
 }
 
 func (p *page) measure() {
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -288,5 +288,8 @@
 // while there is nothing left, and go in fewer and larger rounds.
 func (c *Core) affords() bool {
 	c.spend(0)
-	return c.budget > 0
+	return c.budget >= min(c.writeRate()*0.6, roundWrites)
 }
+
+// roundWrites is about what a round writes.
+const roundWrites = 6
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -436,11 +436,13 @@
 	}), class, txn})
 }
 
-func put(key string, v any) wire.Change {
+func put(key string, v any) wire.Change { return wire.Change{Put: key, Value: encode(v)} }
+
+func encode(v any) json.RawMessage {
 	b, err := json.Marshal(v)
 	if err != nil {
 		// Only our own record types come here; none of them can fail.
 		panic(err)
 	}
-	return wire.Change{Put: key, Value: b}
+	return b
 }
--- a/internal/core/taskset.go
+++ b/internal/core/taskset.go
@@ -31,15 +31,24 @@
 	return n
 }
 
-// room is how many bytes the set's JSON takes at most.
-func (s TaskSet) room() int { return 14*len(s.ranges) + 2 }
+// room is how many bytes the set's JSON takes, give or take a comma.
+func (s TaskSet) room() int {
+	n := len(`[]`)
+	for _, r := range s.ranges {
+		n += digits(r[0]) + len(`,`)
+		if r[0] != r[1] {
+			n += digits(r[1]) + len(`[,]`)
+		}
+	}
+	return n
+}
 
-// last is the largest member, or 0.
-func (s TaskSet) last() int {
-	if s.Empty() {
-		return 0
+func digits(n int) int {
+	k := 1
+	for ; n > 9; n /= 10 {
+		k++
 	}
-	return s.ranges[len(s.ranges)-1][1]
+	return k
 }
 
 // Equal reports whether both sets have the same members.
