--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -971,6 +971,11 @@
 	// full holds what found no room, by all that a search depends on: what needs
 	// as much need not look again in this pass.
 	full map[search][]placement.Amount
+	// held says that work waits for accelerators, on ordinary or on any machines:
+	// what needs none and is less urgent then leaves those that have some alone.
+	// Otherwise it comes back, placed by another controller, to each machine that
+	// it was just stopped on, and a gang never finds enough of them at once.
+	held, heldSpot bool
 }
 
 // search is what the result of looking for room depends on, beside the amount.
@@ -980,6 +985,7 @@
 	spot     bool
 	promised bool
 	stopping bool // others
+	held     bool
 }
 
 // concerns reports whether anything waits that this controller answers for. The
@@ -1225,10 +1231,11 @@
 		p.own[j.id] = []*placement.Host{} // none is known, rather than nothing
 	}
 	o := placement.Options{Relax: c.chosen.Affinity == config.AffinityPreferred, Whole: whole, Rand: c.rand, Own: p.own[j.id]}
-	if len(j.avoid) > 0 {
+	hold := p.leaves(j)
+	if len(j.avoid) > 0 || hold {
 		o.Usable = func(h *placement.Host) bool {
 			until, avoid := j.avoid[h.ID]
-			return !avoid || c.after(until)
+			return (!avoid || c.after(until)) && !(hold && p.keeps(h))
 		}
 	}
 	if act && t.tries > 0 {
@@ -1278,9 +1285,22 @@
 	}
 	if count > 0 {
 		c.wanting(p, w, count)
+		if j.req.Need.Accelerators > 0 {
+			p.held, p.heldSpot = true, p.heldSpot || j.spec.Spot
+		}
 	}
 }
 
+// leaves reports whether a job is to leave machines alone that are kept.
+func (p *placing) leaves(j *job) bool {
+	return p.held && j.req.Need.Accelerators == 0 && j.spec.Rank.Order() > wire.RankHigh.Order()
+}
+
+// keeps reports whether a machine is kept for work that waits for accelerators.
+func (p *placing) keeps(h *placement.Host) bool {
+	return h.Total.Accelerators > 0 && (p.heldSpot || h.Labels[placement.LabelSpot] != "true")
+}
+
 // entryTasks is how many tasks one entry may hold, so that it fits on a page
 // together with others.
 func (c *Core) entryTasks() int { return max(1, min(maxPerHost, c.pageLimit()/32)) }
@@ -1310,7 +1330,7 @@
 // longer than stopping something less urgent that stands in the way.
 func (c *Core) choose(p *placing, w *waiting, count *int, o placement.Options) []placement.Choice {
 	j := w.job
-	free := search{spot: j.spec.Spot}
+	free := search{spot: j.spec.Spot, held: p.leaves(j)}
 	if p.hopeless(free, j) {
 		return nil
 	}
@@ -1424,9 +1444,13 @@
 		}
 		return
 	}
-	stop := search{w.job.spec.Team, w.job.spec.Rank.Order(), w.job.spec.Spot, w.promised, true}
+	usable := func(*placement.Host) bool { return true }
+	if p.leaves(w.job) {
+		usable = func(h *placement.Host) bool { return !p.keeps(h) }
+	}
+	stop := search{w.job.spec.Team, w.job.spec.Rank.Order(), w.job.spec.Spot, w.promised, true, false}
 	if !p.hopeless(stop, w.job) {
-		count = c.awaitRoom(p, w, count, func(*placement.Host) bool { return true })
+		count = c.awaitRoom(p, w, count, usable)
 		if count > 0 {
 			p.noRoom(stop, w.job)
 		}
