--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -102,8 +102,9 @@
 		if seed%2 == 1 {
 			w.Start(0) // it no longer knows which report was the last
 			w.Start(1)
+			w.Run(10 * time.Second)
 		}
-		w.Run(25 * time.Second)
+		w.Run(12 * time.Second)
 		running := 0
 		w.onMachines(func(*machine, *task) { running++ })
 		require.Equal(t, 3, running, "replicas")
@@ -122,9 +123,11 @@
 			w.CutPeers[i] = true
 		}
 		w.NoDirect = true
-		for i, m := range w.machines {
-			m.node = i % 3
-		}
+		w.At(5*time.Second, func() {
+			for i, m := range w.machines {
+				m.node = i % 3
+			}
+		})
 		for n := range 12 {
 			spec, _ := job(n, 1)
 			spec.Tasks = 1
@@ -145,9 +148,11 @@
 	for i := range w.nodes {
 		w.Start(i)
 	}
-	for _, m := range w.machines {
-		m.node = 0
-	}
+	w.At(5*time.Second, func() {
+		for _, m := range w.machines {
+			m.node = 0
+		}
+	})
 	w.At(8*time.Second, func() { w.NoDirect = true }) // nobody else can ask them
 	for n := range 6 {
 		spec, _ := job(n, 0)
