--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -516,7 +516,7 @@
 const (
 	// aloneAfter is how long the state service and the siblings must be away
 	// before workers are sent on.
-	aloneAfter = 5 * time.Second
+	aloneAfter = 3 * time.Second
 	// workerPatience and workerPause are how long the protocol has a worker wait
 	// for an answer, and between two controllers.
 	workerPatience = 4 * time.Second
--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -104,7 +104,7 @@
 			w.Start(1)
 			w.Run(10 * time.Second)
 		}
-		w.Run(12 * time.Second)
+		w.Run(10 * time.Second)
 		running := 0
 		w.onMachines(func(*machine, *task) { running++ })
 		require.Equal(t, 3, running, "replicas")
@@ -153,7 +153,6 @@
 			m.node = 0
 		}
 	})
-	w.At(8*time.Second, func() { w.NoDirect = true }) // nobody else can ask them
 	for n := range 6 {
 		spec, _ := job(n, 0)
 		spec.Tasks = 2
@@ -165,6 +164,8 @@
 	require.Empty(t, w.Unfinished(), "its workers did not find the others")
 	for _, m := range w.machines {
 		require.EqualValues(t, 1, m.shift, "a lease ran out")
+		require.False(t, m.dead, "a machine was given up")
+		require.NotZero(t, m.node, "a worker stayed where nothing can be written down")
 	}
 	require.Empty(t, w.Broken)
 }
