--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -310,6 +310,9 @@
 	}
 	var demands []capacity.Demand
 	for _, d := range c.backlog {
+		if !d.promised && c.waited(d.job) < c.patience(d.job) {
+			continue
+		}
 		demands = append(demands, capacity.Demand{Request: d.job.req, Count: d.count, Zone: d.zone})
 	}
 	if c.lacking > 0 {
@@ -329,6 +332,39 @@
 	}
 }
 
+// patience is how long a job's tasks wait for room to come free before more is
+// rented for them: a part of what the objectives leave. Work that is in no hurry
+// then fills the machines there are one after another, rather than each burst
+// new ones that stand idle after it.
+func (c *Core) patience(j *job) time.Duration {
+	if j.spec.Rank.Order() <= wire.RankHigh.Order() {
+		return 0
+	}
+	left := math.Inf(1)
+	if j.spec.DueS > 0 {
+		left = j.spec.DueS - 2*j.spec.RuntimeS // estimates are often wrong by half or more
+	}
+	for _, o := range c.set.Cluster.Objectives {
+		if o.Class != j.spec.Class {
+			continue
+		}
+		switch o.Kind {
+		case "wait":
+			left = min(left, o.WithinS)
+		case "finished":
+			left = min(left, o.WithinS-2*j.spec.RuntimeS)
+		}
+	}
+	if math.IsInf(left, 1) {
+		return 0
+	}
+	return config.Seconds(max(0, patientPart*left))
+}
+
+// patientPart is the part of the time an objective leaves that may pass before
+// more is rented.
+const patientPart = 0.15
+
 // offers is all the cloud may have, less what it refused lately.
 func (c *Core) offers() []capacity.Offer {
 	var out []capacity.Offer
@@ -427,7 +463,8 @@
 			if c.mayGiveUp(reporting) {
 				c.toDoom(m, "unreachable")
 			}
-		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idle && c.lacking == 0 && len(c.backlog) == 0:
+		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idle && c.lacking == 0 &&
+			(len(c.backlog) == 0 || c.now.Sub(m.idleSince) > 2*idle): // what waits cannot use it
 			c.toDoom(m, whyIdle)
 		}
 	}
