--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -47,7 +47,7 @@
 		ProbeHosts: 16, ProbeTries: 3, ProbeS: 0.4, BusyS: 1,
 		Affinity:   AffinityPreferred,
 		SpareShare: 0.1, SpareLeast: 1,
-		SilenceS: 5, IdleS: 40,
+		SilenceS: 3.5, IdleS: 40,
 	}
 }
 
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -423,8 +423,9 @@
 	}
 	silence, idle := config.Seconds(c.chosen.SilenceS), config.Seconds(c.chosen.IdleS)
 	silent, reporting := 0, 0
-	for _, m := range c.machines {
-		if m.newest != nil && !m.gone {
+	for id, m := range c.machines {
+		// What we return ourselves falls silent, which says nothing about us.
+		if _, going := c.dooms[id]; m.newest != nil && !m.gone && !going {
 			reporting++
 			if c.now.Sub(c.lastSign(m)) > silence {
 				silent++
@@ -454,7 +455,7 @@
 			if t != nil && c.now.Sub(m.born) > config.Seconds(4*t.StartupS)+10*time.Second {
 				c.toDoom(m, "never came up")
 			}
-		case quiet > silence && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
+		case quiet > c.lenience(m, silence) && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
 			if c.mayGiveUp(reporting) {
 				c.toDoom(m, "silent")
 			}
@@ -470,6 +471,18 @@
 	}
 }
 
+// lenience is how long a machine may be silent before it is given up. What hangs
+// often goes on after a while: where nothing urgent stands on it, waiting costs
+// less than to start its work anew on a machine that has yet to boot.
+func (c *Core) lenience(m *machine, silence time.Duration) time.Duration {
+	for _, e := range c.onMachine[m.id] {
+		if e.Rank <= wire.RankHigh.Order() {
+			return silence
+		}
+	}
+	return max(silence, 2*config.Seconds(c.set.Cluster.Workers.ReportS))
+}
+
 // siblingsWell reports whether all other living controllers talk to us.
 func (c *Core) siblingsWell() bool {
 	for label := range c.nodes {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,6 +35,8 @@
 	metrics
 	peers map[string]*peerView
 
+	lastTick Time
+	awake    Time // when this process last went on after standing still
 	nextBeat Time
 	nextTell Time
 	tellAll  bool // a sibling is new: tell it all that was heard
@@ -126,6 +128,10 @@
 func (c *Core) after(t Time) bool { return c.now >= t }
 
 func (c *Core) tick() {
+	if c.now.Sub(c.lastTick) > stoodStill {
+		c.awake = c.now
+	}
+	c.lastTick = c.now
 	c.tickSession()
 	if !c.ready {
 		return
@@ -148,6 +154,9 @@
 	// tellEvery is how often siblings are told what workers reported.
 	tellEvery      = 200 * time.Millisecond
 	reportsPerLine = 100
+	// stoodStill is a time between ticks after which a controller does not trust
+	// what it has not heard: it had no processor to hear it with.
+	stoodStill = 700 * time.Millisecond
 	// stateSilence is how long the state service may be silent before a
 	// controller doubts its own view.
 	stateSilence = 2 * time.Second
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -149,8 +149,9 @@
 }
 
 // lastSign is when a machine last showed itself. One that has only just become
-// known, or that we have had no chance to hear yet, is not silent.
-func (c *Core) lastSign(m *machine) Time { return max(m.heard, m.first, c.readyAt) }
+// known, or that we have had no chance to hear yet, as when this process stood
+// still itself, is not silent.
+func (c *Core) lastSign(m *machine) Time { return max(m.heard, m.first, c.readyAt, c.awake) }
 
 // silentAsk is how long a worker may be silent before it is asked: its reports
 // come every so often, give or take a quarter. Where tasks stand that somebody
@@ -184,7 +185,7 @@
 }
 
 const (
-	pressingAsk = 2500 * time.Millisecond
+	pressingAsk = 1500 * time.Millisecond
 	buyerAsk    = 500 * time.Millisecond
 	asksAtOnce  = 64
 )
--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -91,6 +91,9 @@
 	for seed := range uint64(6) {
 		w := newWorld(t, seed, 2)
 		w.LateReports = 1
+		for n := range 4 {
+			w.AddMachine(types[0], zones[n%3], false, 0) // room to go to
+		}
 		spec, _ := job(1, 1)
 		spec.Tasks = 3
 		w.At(2*time.Second, func() { w.Submit(spec, 0) })
@@ -107,7 +110,7 @@
 		w.Run(10 * time.Second)
 		running := 0
 		w.onMachines(func(*machine, *task) { running++ })
-		require.Equal(t, 3, running, "replicas")
+		require.Equal(t, 3, running, "replicas, seed %d", seed)
 		require.Empty(t, w.Broken)
 	}
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -361,9 +361,9 @@
 			return core.GivenBack{}
 		})
 	case core.Order:
-		w.direct(n, o.Call, o.Addr, func(m *machine) core.Answered { return m.do(o.Body) })
+		w.direct(n, o.Call, o.Addr, 2*time.Second, func(m *machine) core.Answered { return m.do(o.Body) })
 	case core.Show:
-		w.direct(n, o.Call, o.Addr, func(m *machine) core.Answered { return core.Answered{Report: m.report()} })
+		w.direct(n, o.Call, o.Addr, 800*time.Millisecond, func(m *machine) core.Answered { return core.Answered{Report: m.report()} })
 	case core.Tell:
 		for _, s := range w.nodes {
 			if s != n && s.core != nil && !w.CutPeers[n.index] && !w.CutPeers[s.index] && w.rng.Float64() >= w.Loss {
@@ -566,7 +566,7 @@
 }
 
 // direct carries out a call to a worker; a hanging one carries it out later.
-func (w *World) direct(n *node, id core.CallID, addr string, exec func(*machine) core.Answered) {
+func (w *World) direct(n *node, id core.CallID, addr string, timeout time.Duration, exec func(*machine) core.Answered) {
 	gen := n.gen
 	open := true
 	finish := func(d time.Duration, a core.Answered) {
@@ -575,7 +575,7 @@
 			w.returned(n, gen, d, id, a)
 		}
 	}
-	w.after(2*time.Second, func() { finish(0, core.Answered{Outcome: core.Unknown}) })
+	w.after(timeout, func() { finish(0, core.Answered{Outcome: core.Unknown}) })
 	m := w.byID[wire.MachineID(addr)]
 	if m == nil || m.dead || m.mute || w.NoDirect || w.CutWorkers[n.index] {
 		return
