--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -35,6 +35,7 @@
 	returning bool
 	returned  map[wire.MachineID]bool   // asked to be returned, so not to be kept
 	dooming   map[wire.MachineID]string // to be written down as going, and why
+	cutZones  map[string]bool           // zones that seem to be cut off
 	doomCall  bool                      // the list of them is being written
 	nextDoom  Time
 	nextSpoil Time
@@ -68,6 +69,7 @@
 func (v *cloudView) init() {
 	v.refused = map[capacity.Key]refusal{}
 	v.dooming = map[wire.MachineID]string{}
+	v.cutZones = map[string]bool{}
 	v.returned = map[wire.MachineID]bool{}
 }
 
@@ -81,6 +83,8 @@
 	refusalPause   = 5 * time.Second // doubled with every refusal in a row
 	refusalMost    = 40 * time.Second
 	hiresAtOnce    = 4
+	overPart       = 0.2 // of the time for a cancellation, that a machine may take to hear of it
+	cutLeases      = 3
 	silentWindow   = 10 * time.Second
 	silentLeast    = 4 // machines that may be given up in a window, however small the fleet
 	silentPart     = 4 // and at least every fourth of those that report
@@ -423,24 +427,37 @@
 	}
 	silence, idle := config.Seconds(c.chosen.SilenceS), config.Seconds(c.chosen.IdleS)
 	silent, reporting := 0, 0
+	bySilent, byZone := map[string]int{}, map[string]int{}
 	for id, m := range c.machines {
 		// What we return ourselves falls silent, which says nothing about us.
 		if _, going := c.dooms[id]; m.newest != nil && !m.gone && !going {
 			reporting++
+			byZone[m.zone]++
 			if c.now.Sub(c.lastSign(m)) > silence {
+				bySilent[m.zone]++
 				silent++
 			}
 		}
 	}
+	clear(c.cutZones)
+	for zone, n := range bySilent {
+		// All of a zone at once, while others are heard: it is cut off.
+		c.cutZones[zone] = n > 2 && 4*n > 3*byZone[zone] && 2*silent < reporting
+	}
 	// Many silent at once, and no sibling that hears them: it may be us who is
 	// cut off.
-	cutOff := silent > 2 && 3*silent > reporting && !c.siblingsWell()
+	cutOff := silent > 2 && 2*silent > reporting && !c.siblingsWell()
 	for _, id := range c.inOrder() {
 		m := c.machines[id]
 		if _, going := c.dooms[id]; m.gone || c.dooming[id] != "" || going {
 			continue
 		}
 		quiet := c.now.Sub(c.lastSign(m))
+		if !slices.ContainsFunc(c.onMachine[id], func(e *Entry) bool { return c.jobs[e.Job] == nil }) {
+			m.overSince = 0
+		} else if m.overSince == 0 {
+			m.overSince = c.now
+		}
 		busy := len(c.onMachine[id]) > 0
 		if busy || m.reserved || m.newest == nil {
 			m.idleSince = 0
@@ -455,6 +472,10 @@
 			if t != nil && c.now.Sub(m.born) > config.Seconds(4*t.StartupS)+10*time.Second {
 				c.toDoom(m, "never came up")
 			}
+		case m.overSince != 0 && c.now.Sub(m.overSince) > config.Seconds(overPart*c.set.Cluster.Workers.CancelS) && m.unanswered >= deafCalls:
+			// Tasks of jobs that are over must be gone in time, and it cannot be
+			// told: whatever the bounds, it goes.
+			c.toDoom(m, "holds ended work")
 		case quiet > c.lenience(m, silence) && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
 			if c.mayGiveUp(reporting) {
 				c.toDoom(m, "silent")
@@ -476,7 +497,17 @@
 // less than to start its work anew on a machine that has yet to boot.
 func (c *Core) lenience(m *machine, silence time.Duration) time.Duration {
 	for _, e := range c.onMachine[m.id] {
-		if e.Rank <= wire.RankHigh.Order() {
+		if e.Rank == wire.RankCritical.Order() {
+			return silence
+		}
+	}
+	if t := c.kind(m.kind); t != nil && t.Accelerators > 0 && c.cutZones[m.zone] {
+		// They could not be replaced in their zone, and are the scarcest: once the
+		// zone is back, they are there with their images.
+		return cutLeases * config.Seconds(c.set.Cluster.Workers.LeaseS)
+	}
+	for _, e := range c.onMachine[m.id] {
+		if e.Rank == wire.RankHigh.Order() {
 			return silence
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,14 +105,18 @@
 	return c.ready && (c.stateFresh() || c.fresherPeer() == "" && !c.alone())
 }
 
-// alone reports whether this controller has siblings and hears none of them.
+// alone reports whether this controller hears less than half of all, itself
+// among them. In an outage of the state service those who are well still hear
+// one another; two that share a zone which is cut off do as well, so one
+// sibling is not enough.
 func (c *Core) alone() bool {
+	heard := 1
 	for _, p := range c.peers {
 		if c.now.Sub(p.heard) <= peerSilence {
-			return false
+			heard++
 		}
 	}
-	return len(c.set.Siblings) > 0 && c.now.Sub(c.readyAt) > peerSilence
+	return 2*heard <= 1+len(c.set.Siblings) && c.now.Sub(c.readyAt) > peerSilence
 }
 
 func (c *Core) do(o Output) { c.out = append(c.out, o) }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -75,6 +75,7 @@
 
 	pulling int // images that it is fetching
 
+	overSince  Time         // since when tasks of jobs that are over stand on it
 	sentOn     Time         // when it was told to try another controller
 	told       *wire.Report // what the siblings were last told of it
 	unanswered int          // direct calls without an answer since the last that had one, whatever it reports
@@ -488,6 +489,12 @@
 		})
 		return
 	}
+	if !c.stateFresh() && c.alone() && c.now.Sub(c.stateOK) > c.aloneLimit() {
+		// What stands on this worker may have been withdrawn since.
+		c.hear(r, true)
+		c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "cut off"}})
+		return
+	}
 	if !c.stateFresh() && (c.fresherPeer() != "" || c.sendsOn(c.machineOf(r.Machine))) {
 		c.hear(r, true)
 		c.sendAway(in.Request)
@@ -514,7 +521,18 @@
 	return true
 }
 
+// aloneLimit is how long a controller that has lost the state service and most
+// of its siblings goes on answering workers. Meanwhile others may tell users
+// that jobs are withdrawn, whose tasks it keeps alive without knowing; it must
+// stop early enough that their leases run out before such tasks must be gone.
+// Others could return the machines, but not while the cloud is away too.
+func (c *Core) aloneLimit() time.Duration {
+	w := &c.set.Cluster.Workers
+	return max(config.Seconds(w.CancelS-w.LeaseS)-aloneMargin, aloneAfter)
+}
+
 const (
+	aloneMargin = 4 * time.Second
 	// aloneAfter is how long the state service and the siblings must be away
 	// before workers are sent on.
 	aloneAfter = 3 * time.Second
--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -174,7 +174,9 @@
 }
 
 // TestAllAlone guards the leases of workers when there is nobody to send them
-// to: the state service is away and no controller hears another.
+// to: the state service is away for a minute, and at its worst no controller
+// hears another for half of that. Longer than that cannot be told from being
+// cut off while others withdraw jobs.
 func TestAllAlone(t *testing.T) {
 	w := newWorld(t, 4, 3)
 	w.Lease = 25 * time.Second
@@ -187,13 +189,51 @@
 	for i := range w.nodes {
 		w.CutPeers[i] = true
 	}
-	w.Run(60 * time.Second)
+	w.Run(30 * time.Second)
+	clear(w.CutPeers)
+	w.Run(30 * time.Second)
 	for _, m := range w.machines {
 		require.EqualValues(t, 1, m.shift, "the lease of %s ran out", m.id)
 	}
 	require.Empty(t, w.Broken)
 }
 
+// TestCancelledInCutZone guards against tasks that a cut-off controller keeps
+// alive although others have told users that their jobs are withdrawn, while the
+// cloud is away so that their machines cannot be returned. It was found on a
+// rough day: a zone was cut off, and the one controller outside that was well
+// took itself for cut off, since more than a third of the machines were silent.
+func TestCancelledInCutZone(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newWorld(t, seed, 3)
+		for n := range 5 {
+			w.AddMachine(types[0], zones[n%3], false, 0)
+		}
+		for n := range 6 {
+			spec, _ := job(n, 1)
+			spec.Tasks, spec.Apart = 4, true
+			w.At(2*time.Second, func() { w.Submit(spec, 0) })
+			w.At(25*time.Second, func() { w.CancelJob(spec.ID) })
+		}
+		w.Run(22 * time.Second)
+		w.CutOff("east", 0, 100*time.Second)
+		cloudBack := 90 * time.Second
+		if seed%2 == 1 {
+			cloudBack = 25 * time.Second // and then one controller alone is well
+			w.CutState[1], w.CutPeers[1], w.CutWorkers[1] = true, true, true
+			w.At(60*time.Second, func() {
+				delete(w.CutState, 1)
+				delete(w.CutPeers, 1)
+				delete(w.CutWorkers, 1)
+			})
+		}
+		w.CloudDown = true
+		w.At(cloudBack, func() { w.CloudDown = false })
+		w.Run(150 * time.Second)
+		require.Empty(t, w.Broken)
+	}
+}
+
 // TestLargestBegin guards against putting the largest jobs off without end. A
 // stream of small jobs takes more than there is, all of them could be in time,
 // and the objectives make it look best to leave the large ones for later.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -34,6 +34,9 @@
 	CutState, CutWorkers map[int]bool
 	// CutPeers names controllers that hear and reach no sibling.
 	CutPeers map[int]bool
+	// CutZone is a zone that is cut off from everything but the controller in it.
+	CutZone string
+	InZone  int
 	// LateReports is the part of the reports of which a copy comes late, from
 	// seconds to well over a lease.
 	LateReports float64
@@ -577,6 +580,9 @@
 	}
 	w.after(timeout, func() { finish(0, core.Answered{Outcome: core.Unknown}) })
 	m := w.byID[wire.MachineID(addr)]
+	if m != nil && w.apart(m.zone, n) {
+		return
+	}
 	if m == nil || m.dead || m.mute || w.NoDirect || w.CutWorkers[n.index] {
 		return
 	}
@@ -591,6 +597,22 @@
 	}
 }
 
+// apart reports whether a cut lies between a zone's machines and a controller.
+func (w *World) apart(zone string, n *node) bool {
+	return w.CutZone != "" && (zone == w.CutZone) != (n.index == w.InZone)
+}
+
+// CutOff cuts a zone and the controller in it off from everything for a while.
+func (w *World) CutOff(zone string, inside int, d time.Duration) {
+	w.CutZone, w.InZone = zone, inside
+	w.CutState[inside], w.CutPeers[inside] = true, true
+	w.At(d, func() {
+		w.CutZone = ""
+		delete(w.CutState, inside)
+		delete(w.CutPeers, inside)
+	})
+}
+
 // toNode sends a request to a controller.
 func (w *World) toNode(n *node, makeInput func(core.RequestID) core.Input, then func(core.Reply)) {
 	if _, fromWorker := makeInput(0).(core.Reported); fromWorker && w.rng.Float64() < w.LateReports {
@@ -601,6 +623,9 @@
 			}
 		})
 	}
+	if r, fromWorker := makeInput(0).(core.Reported); fromWorker && w.apart(r.Report.Zone, n) {
+		return
+	}
 	d := w.latency()
 	if w.rng.Float64() < w.Loss {
 		if w.rng.IntN(2) == 0 {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -87,7 +87,7 @@
 }
 
 var troubleKinds = []string{"crash", "crash all", "flicker", "state down", "state cut", "worker cut", "cloud down",
-	"hang", "die", "notice", "slow state", "faulty", "mute", "alone", "flicker all"}
+	"hang", "die", "notice", "slow state", "faulty", "mute", "alone", "flicker all", "zone cut"}
 
 func (tr trouble) happen(w *World) {
 	n := tr.who % len(w.nodes)
@@ -121,6 +121,8 @@
 	case "alone":
 		w.CutState[n], w.CutPeers[n] = true, true
 		w.At(tr.last, func() { delete(w.CutState, n); delete(w.CutPeers, n) })
+	case "zone cut":
+		w.CutOff(zones[tr.who%len(zones)], n, 2*tr.last)
 	case "mute":
 		if m := machine(); m != nil {
 			m.mute = true
