--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -976,6 +976,8 @@
 	// Otherwise it comes back, placed by another controller, to each machine that
 	// it was just stopped on, and a gang never finds enough of them at once.
 	held, heldSpot bool
+	// warmOnly has jobs take only machines that have their image.
+	warmOnly bool
 }
 
 // search is what the result of looking for room depends on, beside the amount.
@@ -1025,17 +1027,29 @@
 	backlog := c.backlog
 	c.backlog = nil
 	reserved := !rest
+	var later []*waiting
 	for i := range queue {
 		w := &queue[i]
 		if w.job.spec.Rank != wire.RankCritical && !reserved {
 			reserved = true
 			c.reserve(p.fleet)
 		}
-		c.placeJob(p, w)
+		p.warmOnly = w.job.spec.Rank.Order() >= wire.RankNormal.Order() && !w.overdue && plain(w.job) && c.coldSlow(w.job)
+		if c.placeJob(p, w); p.warmOnly {
+			later = append(later, w)
+		}
 	}
 	if !reserved {
 		c.reserve(p.fleet)
 	}
+	// What is left over once every job took the machines that have its image goes
+	// to whoever is first: fetching one holds a machine up as long as many a task.
+	p.warmOnly = false
+	for _, w := range later {
+		if !w.missing.Empty() {
+			c.placeJob(p, w)
+		}
+	}
 	if !rest {
 		c.backlog = backlog
 	}
@@ -1283,7 +1297,8 @@
 			c.log.Debug("preferred rule relaxed", "job", j.id, "machine", m.id)
 		}
 	}
-	if count > 0 {
+	w.missing = missing
+	if count > 0 && !p.warmOnly {
 		c.wanting(p, w, count)
 		if j.req.Need.Accelerators > 0 {
 			p.held, p.heldSpot = true, p.heldSpot || j.spec.Spot
@@ -1350,7 +1365,7 @@
 		}
 	}
 	take()
-	if *count == 0 {
+	if *count == 0 || p.warmOnly {
 		return choices
 	}
 	if j.spec.Rank.Order() <= wire.RankHigh.Order() && c.coldSlow(j) {
