--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -1369,7 +1369,7 @@
 		return choices
 	}
 	if j.spec.Rank.Order() <= wire.RankHigh.Order() && c.coldSlow(j) {
-		*count = c.awaitRoom(p, w, *count, hasImage)
+		*count = c.awaitRoom(p, w, slices.Concat(j.req.Enforced, j.req.Preferred), *count, hasImage)
 	}
 	first := choices
 	o.Own = p.own[j.id]
@@ -1398,9 +1398,11 @@
 
 // awaitRoom has tasks wait for room that is being freed on some machines, or
 // has less urgent work there stopped, and returns how many still have none.
-func (c *Core) awaitRoom(p *placing, w *waiting, count int, usable func(*placement.Host) bool) int {
+//
+// The rules are those that the placement itself will go by. Where they were
+// laxer, tasks would be stopped pass after pass for room that is never taken.
+func (c *Core) awaitRoom(p *placing, w *waiting, rules []placement.Node, count int, usable func(*placement.Host) bool) int {
 	j := w.job
-	rules := j.req.Enforced
 	if w.zone != "" {
 		rules = append(slices.Clip(rules), placement.InZone(w.zone))
 	}
@@ -1421,7 +1423,10 @@
 			continue
 		}
 		n := room.Times(j.req.Need, count)
-		h.Free = h.Free.Plus(j.req.Need, -float64(n))
+		if j.req.Single {
+			n = 1
+		}
+		c.book(p, rd, j, h, n)
 		count -= n
 	}
 	if count > 0 && c.places(j) {
@@ -1430,6 +1435,12 @@
 	return count
 }
 
+// book keeps room that is being freed for tasks of a job.
+func (c *Core) book(p *placing, rd *placement.Reading, j *job, h *placement.Host, n int) {
+	rd.Book(j.req, h, n)
+	p.own[j.id] = append(p.own[j.id], h)
+}
+
 // places reports whether this controller answers for a job's placement: a new
 // job's first placement is up to the one that accepted it, everything else to
 // its team's steward.
@@ -1465,7 +1476,11 @@
 	}
 	stop := search{w.job.spec.Team, w.job.spec.Rank.Order(), w.job.spec.Spot, w.promised, true, false}
 	if !p.hopeless(stop, w.job) {
-		count = c.awaitRoom(p, w, count, usable)
+		rules := w.job.req.Enforced
+		if c.chosen.Affinity == config.AffinityEnforced {
+			rules = slices.Concat(rules, w.job.req.Preferred)
+		}
+		count = c.awaitRoom(p, w, rules, count, usable)
 		if count > 0 {
 			p.noRoom(stop, w.job)
 		}
@@ -1589,8 +1604,8 @@
 		return cmp.Or(cmp.Compare(a.pulling, b.pulling), -cmp.Compare(a.free, b.free), cmp.Compare(a.host.ID, b.host.ID))
 	})
 	for _, o := range options {
-		for count > 0 && c.makeRoom(p.rounds, o.host, w, promised) {
-			o.host.Free = o.host.Free.Plus(need, -1)
+		for count > 0 && rd.Holds(rules, j.spec.Team, o.host) && c.makeRoom(p.rounds, o.host, w, promised) {
+			c.book(p, rd, j, o.host, 1)
 			count--
 			c.count(countPreempted, 1)
 			c.log.Debug("work stopped for a more urgent job", "job", j.id, "class", j.spec.Class, "machine", o.host.ID)
--- a/internal/placement/rules.go
+++ b/internal/placement/rules.go
@@ -248,6 +248,12 @@
 	return counts
 }
 
+// Book has a host stand for tasks that are to start there once there is room.
+func (r *Reading) Book(q *Request, h *Host, n int) {
+	h.Add(q.Team, q.Tags, q.Need, n)
+	r.added(q.Tags, h, n)
+}
+
 // added notes that tasks with these tags were placed on a host.
 func (r *Reading) added(tags Tags, h *Host, n int) {
 	for rule, counts := range r.counts {
--- a/internal/standin/found_test.go
+++ b/internal/standin/found_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,43 @@
 	}
 }
 
+// TestStopsAreOfUse guards against stopping work for room that is not taken. The
+// machine that has a service's image also has a replica of it, and the default
+// rule keeps the next one off; once room was made there for that one all the same,
+// pass after pass, and it never started.
+func TestStopsAreOfUse(t *testing.T) {
+	for seed := range uint64(4) {
+		w := newWorld(t, seed, 2)
+		w.Capacity = 0
+		w.types = slices.Clone(w.types)
+		w.types[0].PullGBPerS, w.types[1].PullGBPerS = 0.1, 0.1 // images are slow to come
+		service, _ := job(1, 1)
+		service.Tasks = 1
+		w.At(2*time.Second, func() { w.Submit(service, 0) })
+		for n := range 8 {
+			spec, _ := job(2*n, 0)
+			spec.Rank, spec.Spot, spec.Tasks, spec.Image = wire.RankBestEffort, false, 2, "other"
+			w.At(8*time.Second, func() { w.Submit(spec, 200*time.Second) })
+		}
+		second := service
+		second.ID, second.Tasks = "wk-000900", 2
+		w.At(20*time.Second, func() { w.Submit(second, 0) })
+		w.Run(90 * time.Second)
+		launched, running := 0, 0
+		for _, m := range w.machines {
+			launched += m.launched
+		}
+		w.onMachines(func(_ *machine, tk *task) {
+			if tk.id.Job == second.ID {
+				running++
+			}
+		})
+		require.Equal(t, 2, running, "replicas")
+		require.Less(t, launched, 40, "launches")
+		require.Empty(t, w.Broken)
+	}
+}
+
 // TestSoldOutOffersDoNotHideOthers guards against a buyer that asks for the same
 // sold-out offer for every job that waits, and never gets to one that is left.
 func TestSoldOutOffersDoNotHideOthers(t *testing.T) {
