--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -1034,7 +1034,7 @@
 			reserved = true
 			c.reserve(p.fleet)
 		}
-		p.warmOnly = w.job.spec.Rank.Order() >= wire.RankNormal.Order() && !w.overdue && plain(w.job) && c.coldSlow(w.job)
+		p.warmOnly = w.job.spec.Rank.Order() >= wire.RankNormal.Order() && !w.overdue && !w.promised && plain(w.job) && c.coldSlow(w.job)
 		if c.placeJob(p, w); p.warmOnly {
 			later = append(later, w)
 		}
