--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -312,13 +312,7 @@
 			coming = append(coming, o.Host(m.id, maxPerHost))
 		}
 	}
-	var demands []capacity.Demand
-	for _, d := range c.backlog {
-		if !d.promised && c.waited(d.job) < c.patience(d.job) {
-			continue
-		}
-		demands = append(demands, capacity.Demand{Request: d.job.req, Count: d.count, Zone: d.zone})
-	}
+	demands := c.demands()
 	if c.lacking > 0 {
 		for _, s := range c.spares() {
 			s.Count = min(s.Count, c.lacking)
@@ -336,17 +330,73 @@
 	}
 }
 
-// patience is how long a job's tasks wait for room to come free before more is
-// rented for them: a part of what the objectives leave. Work that is in no hurry
-// then fills the machines there are one after another, rather than each burst
-// new ones that stand idle after it.
+// demands is what of the backlog more is rented for. Work in no hurry waits for
+// room to come free, as long as all of it can be expected to start in time on
+// the machines that there are: a burst then does not rent machines, dear ones
+// among them, that stand idle after it. Where it cannot, as much is rented as
+// makes up the difference.
+func (c *Core) demands() []capacity.Demand {
+	var out []capacity.Demand
+	var patient []demand
+	cores, work, lacking := 0.0, 0.0, 0.0
+	for _, d := range c.backlog {
+		patience := c.patience(d.job)
+		if d.promised || patience == 0 {
+			out = append(out, capacity.Demand{Request: d.job.req, Count: d.count, Zone: d.zone})
+			continue
+		}
+		if patient == nil {
+			cores, work = c.underWay()
+		}
+		patient = append(patient, d)
+		s := &d.job.spec
+		work += float64(d.count) * s.Cores * (s.RuntimeS + startSlack)
+		left := max(patience-c.waited(d.job), leastPatience).Seconds()
+		lacking = max(lacking, work/left-cores)
+	}
+	for _, d := range patient {
+		if lacking <= 0 {
+			break
+		}
+		n := min(d.count, int(math.Ceil(lacking/max(d.job.spec.Cores, 0.01))))
+		lacking -= float64(n) * d.job.spec.Cores
+		out = append(out, capacity.Demand{Request: d.job.req, Count: n, Zone: d.zone})
+	}
+	return out
+}
+
+// underWay is the cores that work which ends has at its disposal, and how many
+// core-seconds of it they are still at.
+func (c *Core) underWay() (cores, work float64) {
+	for _, id := range c.inOrder() {
+		m := c.machines[id]
+		t := c.kind(m.kind)
+		if t == nil || !c.usable(m) {
+			continue // what is coming is set against what is rented
+		}
+		cores += t.Cores
+		for _, e := range c.onMachine[id] {
+			n := e.Cores * float64(e.Tasks.Len())
+			if e.Shape == wire.ShapeService {
+				cores -= n
+			} else if j := c.jobs[e.Job]; j != nil {
+				work += n * j.spec.RuntimeS / 2
+			}
+		}
+	}
+	return cores, work
+}
+
+// patience is how long after its submission a job's tasks may be left waiting:
+// a part of what the objectives leave.
 func (c *Core) patience(j *job) time.Duration {
 	if j.spec.Rank.Order() <= wire.RankHigh.Order() {
 		return 0
 	}
 	left := math.Inf(1)
 	if j.spec.DueS > 0 {
-		left = j.spec.DueS - 2*j.spec.RuntimeS // estimates are often wrong by half or more
+		// Estimates are often wrong by half or more.
+		left = (j.spec.DueS - 2*j.spec.RuntimeS) * duePart / patientPart
 	}
 	for _, o := range c.set.Cluster.Objectives {
 		if o.Class != j.spec.Class {
@@ -365,9 +415,14 @@
 	return config.Seconds(max(0, patientPart*left))
 }
 
-// patientPart is the part of the time an objective leaves that may pass before
-// more is rented.
-const patientPart = 0.15
+const (
+	// patientPart is the part of the time an objective leaves, and duePart of the
+	// time before a deadline, that may be spent waiting.
+	patientPart   = 0.4
+	duePart       = 0.15
+	leastPatience = 15 * time.Second
+	startSlack    = 5.0 // seconds that a task takes beside its run time
+)
 
 // offers is all the cloud may have, less what it refused lately.
 func (c *Core) offers() []capacity.Offer {
