--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -35,7 +35,8 @@
 	returning bool
 	returned  map[wire.MachineID]bool   // asked to be returned, so not to be kept
 	dooming   map[wire.MachineID]string // to be written down as going, and why
-	cutZones  map[string]bool           // zones that seem to be cut off
+	cutZones  map[string]Time           // zones that seem to be cut off, and when they last seemed so
+	dearest   float64                   // the price of a core above which machines are left alone; 0: not known
 	doomCall  bool                      // the list of them is being written
 	nextDoom  Time
 	nextSpoil Time
@@ -69,7 +70,7 @@
 func (v *cloudView) init() {
 	v.refused = map[capacity.Key]refusal{}
 	v.dooming = map[wire.MachineID]string{}
-	v.cutZones = map[string]bool{}
+	v.cutZones = map[string]Time{}
 	v.returned = map[wire.MachineID]bool{}
 }
 
@@ -85,6 +86,7 @@
 	hiresAtOnce    = 4
 	overPart       = 0.2 // of the time for a cancellation, that a machine may take to hear of it
 	cutLeases      = 3
+	cutFor         = 40 * time.Second // after which a zone is tried again
 	silentWindow   = 10 * time.Second
 	silentLeast    = 4 // machines that may be given up in a window, however small the fleet
 	silentPart     = 4 // and at least every fourth of those that report
@@ -365,6 +367,72 @@
 	return out
 }
 
+// spareDear finds the price of a core up to which machines are needed so that
+// work in no hurry can be expected to start in time. Such work then leaves dearer
+// ones alone, unless replicas keep them anyway, so that they come to be idle and
+// are returned, while it waits a little longer.
+func (c *Core) spareDear(queue []waiting) {
+	_, work := c.underWay()
+	need, any := 0.0, false
+	for i := range queue {
+		w := &queue[i]
+		s := &w.job.spec
+		if s.Shape == wire.ShapeService {
+			continue
+		}
+		work += float64(w.missing.Len()) * s.Cores * (s.RuntimeS + startSlack)
+		patience := c.patience(w.job)
+		if w.promised || patience == 0 {
+			patience = 0
+		} else {
+			any = true
+		}
+		need = max(need, dearMargin*work/max(patience-c.waited(w.job), leastPatience).Seconds())
+	}
+	c.dearest = math.Inf(1)
+	if !any {
+		return
+	}
+	byPrice := map[float64]float64{}
+	for _, id := range c.inOrder() {
+		m := c.machines[id]
+		t := c.kind(m.kind)
+		if t == nil || !c.usable(m) {
+			continue
+		}
+		cores := t.Cores
+		for _, e := range c.onMachine[id] {
+			if e.Shape == wire.ShapeService {
+				cores -= e.Cores * float64(e.Tasks.Len())
+			}
+		}
+		byPrice[corePrice(t, m.spot)] += cores
+	}
+	for _, price := range sortedKeys(byPrice) {
+		if need -= byPrice[price]; need <= 0 {
+			c.dearest = price
+			return
+		}
+	}
+}
+
+func corePrice(t *wire.MachineType, spot bool) float64 {
+	if spot {
+		return t.MarketPrice / max(t.Cores, 1)
+	}
+	return t.Rate / max(t.Cores, 1)
+}
+
+// tooDear reports whether a machine is one that work in no hurry leaves alone.
+func (c *Core) tooDear(m *machine) bool {
+	t := c.kind(m.kind)
+	return t != nil && c.dearest > 0 && corePrice(t, m.spot) > c.dearest*(1+1e-9) && !c.pressing(m)
+}
+
+// dearMargin is how much more than the work that is known of the machines that
+// are not too dear should be able to do.
+const dearMargin = 1.25
+
 // underWay is the cores that work which ends has at its disposal, and how many
 // core-seconds of it they are still at.
 func (c *Core) underWay() (cores, work float64) {
@@ -429,7 +497,7 @@
 	var out []capacity.Offer
 	for _, t := range c.catalogue {
 		for _, zone := range t.Zones {
-			if !slices.Contains(c.set.Cluster.Zones, zone) {
+			if !slices.Contains(c.set.Cluster.Zones, zone) || c.isCut(zone) {
 				continue
 			}
 			for _, spot := range []bool{false, true} {
@@ -482,22 +550,29 @@
 	}
 	silence, idle := config.Seconds(c.chosen.SilenceS), config.Seconds(c.chosen.IdleS)
 	silent, reporting := 0, 0
-	bySilent, byZone := map[string]int{}, map[string]int{}
+	bySilent, byZone, lastHeard := map[string]int{}, map[string]int{}, map[string]Time{}
 	for id, m := range c.machines {
 		// What we return ourselves falls silent, which says nothing about us.
 		if _, going := c.dooms[id]; m.newest != nil && !m.gone && !going {
 			reporting++
 			byZone[m.zone]++
+			lastHeard[m.zone] = max(lastHeard[m.zone], m.heard)
 			if c.now.Sub(c.lastSign(m)) > silence {
 				bySilent[m.zone]++
 				silent++
 			}
 		}
 	}
-	clear(c.cutZones)
 	for zone, n := range bySilent {
 		// All of a zone at once, while others are heard: it is cut off.
-		c.cutZones[zone] = n > 2 && 4*n > 3*byZone[zone] && 2*silent < reporting
+		if n > 2 && 4*n > 3*byZone[zone] && 2*silent < reporting {
+			c.cutZones[zone] = c.now
+		}
+	}
+	for zone, since := range c.cutZones {
+		if c.now.Sub(since) > cutFor || lastHeard[zone] > since.Add(silence) {
+			delete(c.cutZones, zone)
+		}
 	}
 	// Many silent at once, and no sibling that hears them: it may be us who is
 	// cut off.
@@ -541,12 +616,19 @@
 				c.toDoom(m, "unreachable")
 			}
 		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idle && c.lacking == 0 &&
-			(len(c.backlog) == 0 || c.now.Sub(m.idleSince) > 2*idle): // what waits cannot use it
+			(len(c.backlog) == 0 || c.tooDear(m) || c.now.Sub(m.idleSince) > 2*idle): // what waits cannot use it
 			c.toDoom(m, whyIdle)
 		}
 	}
 }
 
+// isCut reports whether a zone seems to be cut off. Nothing is rented there
+// meanwhile: what came up would be silent, be returned, and be rented again.
+func (c *Core) isCut(zone string) bool {
+	_, cut := c.cutZones[zone]
+	return cut
+}
+
 // lenience is how long a machine may be silent before it is given up. What hangs
 // often goes on after a while: where nothing urgent stands on it, waiting costs
 // less than to start its work anew on a machine that has yet to boot.
@@ -556,7 +638,7 @@
 			return silence
 		}
 	}
-	if t := c.kind(m.kind); t != nil && t.Accelerators > 0 && c.cutZones[m.zone] {
+	if t := c.kind(m.kind); t != nil && t.Accelerators > 0 && c.isCut(m.zone) {
 		// They could not be replaced in their zone, and are the scarcest: once the
 		// zone is back, they are there with their images.
 		return cutLeases * config.Seconds(c.set.Cluster.Workers.LeaseS)
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -989,6 +989,7 @@
 	promised bool
 	stopping bool // others
 	held     bool
+	dear     bool // it leaves dear machines alone
 }
 
 // concerns reports whether anything waits that this controller answers for. The
@@ -1024,6 +1025,9 @@
 		zones[e.Job] = pg.zone
 	})
 	queue := c.queue(rounds, placed, zones, rest)
+	if rest {
+		c.spareDear(queue)
+	}
 	c.criticalWaits = len(queue) > 0 && queue[0].job.spec.Rank == wire.RankCritical
 	backlog := c.backlog
 	c.backlog = nil
@@ -1263,10 +1267,11 @@
 	}
 	o := placement.Options{Relax: c.chosen.Affinity == config.AffinityPreferred, Whole: whole, Rand: c.rand, Own: p.own[j.id]}
 	hold := p.leaves(j)
-	if len(j.avoid) > 0 || hold {
+	spare := c.leavesDear(w)
+	if len(j.avoid) > 0 || hold || spare {
 		o.Usable = func(h *placement.Host) bool {
 			until, avoid := j.avoid[h.ID]
-			return (!avoid || c.after(until)) && !(hold && p.keeps(h))
+			return (!avoid || c.after(until)) && !(hold && p.keeps(h)) && !(spare && c.tooDear(c.machines[h.ID]))
 		}
 	}
 	if act && t.tries > 0 {
@@ -1328,6 +1333,12 @@
 	return p.held && j.req.Need.Accelerators == 0 && j.spec.Rank.Order() > wire.RankHigh.Order()
 }
 
+// leavesDear reports whether a job leaves machines alone that are too dear for
+// work in no hurry.
+func (c *Core) leavesDear(w *waiting) bool {
+	return !w.promised && !math.IsInf(c.dearest, 1) && c.patience(w.job) > 0
+}
+
 // keeps reports whether a machine is kept for work that waits for accelerators.
 func (p *placing) keeps(h *placement.Host) bool {
 	return h.Total.Accelerators > 0 && (p.heldSpot || h.Labels[placement.LabelSpot] != "true")
@@ -1362,7 +1373,7 @@
 // longer than stopping something less urgent that stands in the way.
 func (c *Core) choose(p *placing, w *waiting, count *int, o placement.Options) []placement.Choice {
 	j := w.job
-	free := search{spot: j.spec.Spot, held: p.leaves(j)}
+	free := search{spot: j.spec.Spot, held: p.leaves(j), dear: c.leavesDear(w)}
 	if p.hopeless(free, j) {
 		return nil
 	}
@@ -1498,7 +1509,7 @@
 	if p.leaves(w.job) {
 		usable = func(h *placement.Host) bool { return !p.keeps(h) }
 	}
-	stop := search{w.job.spec.Team, w.job.spec.Rank.Order(), w.job.spec.Spot, w.promised, true, false}
+	stop := search{w.job.spec.Team, w.job.spec.Rank.Order(), w.job.spec.Spot, w.promised, true, false, false}
 	if !p.hopeless(stop, w.job) {
 		rules := w.job.req.Enforced
 		if c.chosen.Affinity == config.AffinityEnforced {
