--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -1109,9 +1109,6 @@
 	return queue
 }
 
-// startMargin is how many seconds a start takes beside the image.
-const startMargin = 4.0
-
 // waited is how long ago a job was accepted.
 func (c *Core) waited(j *job) time.Duration { return time.Duration(c.wall-j.at) * time.Millisecond }
 
@@ -1119,7 +1116,7 @@
 // ahead of all but critical work, whatever its rank, its size and its chances
 // to be in time. Without a bound, a stream of small jobs would put the largest
 // off without end. Users expect them to begin within four minutes.
-const overdueAfter = 150 * time.Second
+const overdueAfter = 100 * time.Second
 
 // giveUpSome marks jobs late when not all can be in time: taking them as they
 // are due, whenever one would be too late, the largest so far is put off. That
@@ -1190,24 +1187,11 @@
 	}
 	due = never
 	for _, o := range c.set.Cluster.Objectives {
-		if o.Class != j.spec.Class {
-			continue
-		}
-		t := int64(0)
-		switch o.Kind {
-		case "finished":
-			t = j.at + int64(o.WithinS*1000)
-		case "wait":
-			// To start in time is to be complete a run time later. What has to fetch
-			// its image must be placed so much earlier. Work that can no longer start
-			// in time gives way to work that can: served in the order it came, all of
-			// a long queue would be late.
-			t = j.at + int64((o.WithinS-c.fetchTime(j)-startMargin+j.spec.RuntimeS)*1000)
-		default:
+		if o.Kind != "finished" || o.Class != j.spec.Class {
 			continue
 		}
 		late = true
-		if t >= least && t < due {
+		if t := j.at + int64(o.WithinS*1000); t >= least && t < due {
 			due = t
 		}
 	}
@@ -1414,21 +1398,14 @@
 const slowFetch = 0.5
 
 // coldSlow reports whether a start without the image would be noticed.
-func (c *Core) coldSlow(j *job) bool { return c.fetchTime(j) > slowFetch }
-
-// fetchTime is how many seconds a machine that fits takes to fetch a job's image
-// at best.
-func (c *Core) fetchTime(j *job) float64 {
+func (c *Core) coldSlow(j *job) bool {
 	best := 0.0
 	for i := range c.catalogue {
 		if t := &c.catalogue[i]; amountOf(t).Covers(j.req.Need) {
 			best = max(best, t.PullGBPerS)
 		}
 	}
-	if best == 0 {
-		return math.MaxInt32
-	}
-	return j.spec.ImageGB / best
+	return best == 0 || j.spec.ImageGB/best > slowFetch
 }
 
 // awaitRoom has tasks wait for room that is being freed on some machines, or
