--- a/internal/standin/found_test.go
+++ b/internal/standin/found_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lilacrill/internal/config"
 	"lilacrill/wire"
 )
 
@@ -122,3 +123,72 @@
 		require.Empty(t, w.Unfinished(), "%v", w.Records())
 	}
 }
+
+// TestNothingRentedInACutZone guards against renting, in a zone that is cut off,
+// machines that come up silent, are returned for it, and are rented again. It was
+// found in incident inc-449b, where some 500 machines went that way.
+func TestNothingRentedInACutZone(t *testing.T) {
+	for seed := range uint64(4) {
+		w := newWorld(t, seed, 3)
+		w.Capacity = 12
+		w.Settings.Cluster.Teams = []config.Team{{Name: "blue", CPUs: 100, CPUsMax: 400}, {Name: "red", CPUs: 100, CPUsMax: 400}}
+		for i := range w.nodes {
+			w.Start(i)
+		}
+		for n := range 8 {
+			w.AddMachine(types[0], zones[n%3], false, 0)
+		}
+		for n := range 60 {
+			spec, _ := job(n, 0)
+			spec.Tasks, spec.Spot = 4, false
+			w.At(time.Duration(2+n)*time.Second, func() { w.Submit(spec, 25*time.Second) })
+		}
+		w.Run(15 * time.Second)
+		w.CutOff("east", 0, 50*time.Second)
+		w.Run(10 * time.Second)
+		before := len(w.machines)
+		w.Run(30 * time.Second)
+		east, rest := 0, 0
+		for _, m := range w.machines[before:] {
+			if m.zone == "east" {
+				east++
+			} else {
+				rest++
+			}
+		}
+		require.Positive(t, rest, "nothing was rented at all")
+		require.Zero(t, east, "machines rented in the zone that was cut off")
+		require.Empty(t, w.Broken)
+	}
+}
+
+// TestDearMachinesGo guards the money of work in no hurry: once what is left can
+// start in time on cheap machines, dear ones are left alone and returned.
+func TestDearMachinesGo(t *testing.T) {
+	w := newWorld(t, 7, 2)
+	set := &w.Settings.Cluster
+	set.Teams = []config.Team{{Name: "blue", CPUs: 0, CPUsMax: 200}, {Name: "red", CPUs: 0, CPUsMax: 200}}
+	set.Objectives = []config.Objective{{Kind: "wait", Class: "batch", WithinS: 250, Share: 0.9}}
+	for i := range w.nodes {
+		w.Start(i)
+	}
+	for n := range 6 {
+		w.AddMachine(types[0], zones[n%3], true, 0)
+	}
+	for n := range 150 {
+		spec, _ := job(n, 0)
+		spec.Tasks, spec.Spot, spec.RuntimeS = 2, true, 10
+		w.At(time.Duration(2+n)*time.Second, func() { w.Submit(spec, 10*time.Second) })
+	}
+	w.Run(140 * time.Second)
+	dear := 0
+	for _, m := range w.machines {
+		if !m.dead && !m.spot {
+			dear++
+		}
+	}
+	require.Zero(t, dear, "dear machines kept")
+	w.Run(100 * time.Second)
+	require.Empty(t, w.Unfinished())
+	require.Empty(t, w.Broken)
+}
