--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -131,6 +131,7 @@
 	done   map[wire.JobID]TaskSet
 	ends   map[wire.JobID]bool // the jobs that it ends
 	adds   map[string]bool     // zones in which it adds entries
+	wrote  map[string]bool     // pages that the transaction changes
 	conds  map[string]wire.Ledger
 	places bool
 	urgent bool // it places critical tasks
@@ -145,7 +146,7 @@
 
 func (c *Core) newRound(t *team) *round {
 	return &round{team: t, pages: map[string]*page{}, done: map[wire.JobID]TaskSet{}, ends: map[wire.JobID]bool{},
-		adds: map[string]bool{}, conds: map[string]wire.Ledger{}, skip: map[wire.MachineID]bool{}, tell: map[wire.MachineID]bool{}}
+		adds: map[string]bool{}, wrote: map[string]bool{}, conds: map[string]wire.Ledger{}, skip: map[wire.MachineID]bool{}, tell: map[wire.MachineID]bool{}}
 }
 
 // draft is the page to change in this round. What it holds of jobs that are
@@ -617,6 +618,7 @@
 	for _, key := range c.settle(r) {
 		d := r.pages[key]
 		r.conds[key] = d.stamp
+		r.wrote[key] = true
 		txn.Then = append(txn.Then, put(key, d.value()))
 	}
 	for _, id := range sortedKeys(r.ends) {
@@ -746,7 +748,9 @@
 func (c *Core) adopt(r *round, stamp wire.Ledger) {
 	for _, key := range sortedKeys(r.pages) {
 		d := r.pages[key]
-		if _, wrote := r.conds[key]; !wrote || stamp <= c.ver[key] {
+		// A draft that came out as it was is not written, though its version may
+		// be demanded: taking it for written would demand a version that never was.
+		if !r.wrote[key] || stamp <= c.ver[key] {
 			continue
 		}
 		c.ver[key] = stamp
