--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,7 +51,8 @@
 	Quota      Quota       `toml:"quota"`
 }
 
-// Team has a guarantee and a limit.
+// Team has a guarantee and a limit. A guarantee of 0 is none, and so is a limit of
+// 0: guests are listed with both at 0, and are to be served from what is free.
 type Team struct {
 	Name    string  `toml:"name"`
 	CPUs    float64 `toml:"cpus"`
@@ -60,6 +61,22 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
+// Unlimited stands for a limit that is none. It is more than any cluster has, and
+// small enough to be divided by a task's share of a core.
+const Unlimited = 1e12
+
+// Limits are the most that the team's tasks may use at any time.
+func (t *Team) Limits() (cpus, gpus float64) {
+	cpus, gpus = t.CPUsMax, t.GPUsMax
+	if cpus == 0 {
+		cpus = Unlimited
+	}
+	if gpus == 0 {
+		gpus = Unlimited
+	}
+	return cpus, gpus
+}
+
 // Objective is an aim the users state.
 type Objective struct {
 	Kind    string  `toml:"kind"`
@@ -196,9 +213,13 @@
 		}
 		names[t.Name] = true
 		within(field+".cpus", t.CPUs, 0, 1e9)
-		within(field+".cpus_max", t.CPUsMax, t.CPUs, 1e9)
+		if t.CPUsMax != 0 {
+			within(field+".cpus_max", t.CPUsMax, t.CPUs, 1e9)
+		}
 		within(field+".gpus", t.GPUs, 0, 1e9)
-		within(field+".gpus_max", t.GPUsMax, t.GPUs, 1e9)
+		if t.GPUsMax != 0 {
+			within(field+".gpus_max", t.GPUsMax, t.GPUs, 1e9)
+		}
 	}
 	for i, o := range c.Objectives {
 		field := fmt.Sprintf("cluster.objectives[%d]", i)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -99,6 +99,15 @@
 	require.ErrorContains(t, err, "none.toml")
 }
 
+// TestNoLimit: guests are listed with 0 for every amount, which is no limit.
+func TestNoLimit(t *testing.T) {
+	s, err := Parse([]byte(strings.Replace(good, `cpus_max = 48.0`, `cpus_max = 0.0`, 1)))
+	require.NoError(t, err)
+	cpus, gpus := s.Cluster.Teams[0].Limits()
+	require.Equal(t, Unlimited, cpus)
+	require.Equal(t, Unlimited, gpus)
+}
+
 func TestOperatorSettings(t *testing.T) {
 	d := DefaultOperator()
 	require.NoError(t, d.check())
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -185,7 +185,8 @@
 	if set == nil {
 		return 0
 	}
-	count := placement.Amount{Cores: set.CPUsMax, Accelerators: set.GPUsMax, MemGB: 1e18}.
+	cpus, gpus := set.Limits()
+	count := placement.Amount{Cores: cpus, Accelerators: gpus, MemGB: config.Unlimited}.
 		Plus(p.used[w.job.spec.Team], -1).Times(w.job.req.Need, w.missing.Len())
 	if w.job.spec.Shape == wire.ShapeGang && count < w.job.spec.Tasks {
 		return 0
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -144,7 +144,7 @@
 	if j.Shape == wire.ShapeArray {
 		n = 1
 	}
-	if n*j.Cores > t.CPUsMax+1e-6 || n*j.Accelerators > t.GPUsMax+1e-6 {
+	if cpus, gpus := t.Limits(); n*j.Cores > cpus+1e-6 || n*j.Accelerators > gpus+1e-6 {
 		return "needs more than the team's limit"
 	}
 	if j.Together && j.Apart && j.Tasks > 1 && j.Shape != wire.ShapeArray {
