Jobs that fail everywhere are paused and tried at nobody's cost; late boots awaited

Jobs submitted with a mistake: once three machines failed a job and none of its tasks went well, it pauses, doubling, and is tried with two tasks; while it pauses it takes no turn, guarantee or room, and after two pauses nothing is rented, gathered or stopped for it. A machine is faulty when jobs fail on it that run well elsewhere; withdrawn jobs tell nothing (they counted before). Machines that come up late: returned only when one rented later is up, or after nine boot times; offers with overdue machines are rented last. Found by the test: with two controllers and no machine up yet both took themselves for deaf and left buying to each other, so that nothing was rented any more.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -23,6 +23,9 @@
 	Type wire.MachineType
 	Zone string
 	Spot bool
+	// Doubt is which part of what was rented of it and is not up yet is overdue,
+	// from 0 to 1.
+	Doubt float64
 }
 
 // Price is what the offer costs an hour.
@@ -120,7 +123,8 @@
 		// A machine that is not filled will serve others too, but not surely.
 		filled := float64(count) / float64(per)
 		paid := (filled + float64(number)) / 2
-		options = append(options, option{o, number, o.Price() * paid / float64(count)})
+		// What may come late, or never, is worth less.
+		options = append(options, option{o, number, o.Price() * paid / float64(count) * (1 + o.Doubt)})
 	}
 	if len(options) == 0 {
 		return Offer{}, 0
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -16,7 +16,7 @@
 	var out []Offer
 	for _, t := range []wire.MachineType{small, large} {
 		for _, zone := range []string{"a", "b"} {
-			out = append(out, Offer{t, zone, false}, Offer{t, zone, true})
+			out = append(out, Offer{Type: t, Zone: zone}, Offer{Type: t, Zone: zone, Spot: true})
 		}
 	}
 	return out
@@ -65,3 +65,18 @@
 	require.Empty(t, Plan([]Demand{demand(1, 0, false, 4)}, coming, offers(), 300))
 	require.Empty(t, Plan([]Demand{demand(1, 0, false, 4)}, nil, nil, 300))
 }
+
+// TestDoubtfulOffersLast: where machines are overdue, others at a like price are
+// rented first.
+func TestDoubtfulOffersLast(t *testing.T) {
+	all := offers()
+	for i := range all {
+		if all[i].Zone == "a" {
+			all[i].Doubt = 0.5
+		}
+	}
+	for _, p := range Plan([]Demand{demand(1, 0, true, 3)}, nil, all, 300) {
+		require.Equal(t, "b", p.Offer.Zone)
+		require.True(t, p.Offer.Spot)
+	}
+}
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -184,7 +184,7 @@
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
 		v := wire.AdminJob{ID: id, Class: j.spec.Class, Team: j.spec.Team, Rank: j.spec.Rank, Tasks: j.spec.Tasks,
-			Done: j.done.Len(), Placed: c.placedOf(id)}
+			Done: j.done.Len(), Placed: c.placedOf(id), FailedOn: len(j.errors), PausedS: max(0, j.notBefore.Sub(c.now).Seconds())}
 		v.Waiting = max(0, v.Tasks-v.Done-v.Placed)
 		if v.Waiting > 0 {
 			v.Reason = j.why
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -41,6 +41,7 @@
 	nextDoom  Time
 	nextSpoil Time
 	toldCloud map[wire.MachineID]wire.MachineStatus // as the siblings were told
+	boots     map[string]boots                      // by type
 	silentAt  []Time                                // when machines were given up for their silence
 }
 
@@ -75,6 +76,7 @@
 
 func (v *cloudView) init() {
 	v.refused = map[capacity.Key]refusal{}
+	v.boots = map[string]boots{}
 	v.dooming = map[wire.MachineID]string{}
 	v.cutZones = map[string]cut{}
 	v.returned = map[wire.MachineID]bool{}
@@ -259,18 +261,6 @@
 	}
 }
 
-// coming reports whether a rented machine may still be expected to come up.
-func (c *Core) coming(m *machine) bool {
-	t := c.kind(m.kind)
-	if t == nil || m.newest != nil || m.gone || m.status == wire.MachineFailed {
-		return false
-	}
-	if _, going := c.dooms[m.id]; going {
-		return false
-	}
-	return c.now.Sub(m.born) < config.Seconds(1.8*t.StartupS)+3*time.Second
-}
-
 // reserve keeps room free for tasks that must start at once, before less urgent
 // ones are placed.
 func (c *Core) reserve(fleet placement.Fleet) {
@@ -303,6 +293,9 @@
 	classes := map[key]*seen{}
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
+		if j.strikes > 0 {
+			continue
+		}
 		k := key{j.spec.Class, j.spec.Image}
 		s := classes[k]
 		if s == nil {
@@ -529,6 +522,7 @@
 // offers is all the cloud may have, less what it refused lately.
 func (c *Core) offers() []capacity.Offer {
 	var out []capacity.Offer
+	doubts := c.doubts()
 	for _, t := range c.catalogue {
 		for _, zone := range t.Zones {
 			if !slices.Contains(c.set.Cluster.Zones, zone) || c.isCut(zone) {
@@ -536,6 +530,7 @@
 			}
 			for _, spot := range []bool{false, true} {
 				o := capacity.Offer{Type: t, Zone: zone, Spot: spot}
+				o.Doubt = doubts[o.Key()]
 				if c.after(c.refused[o.Key()].until) {
 					out = append(out, o)
 				}
@@ -636,12 +631,11 @@
 		} else if m.idleSince == 0 {
 			m.idleSince = c.now
 		}
-		t := c.kind(m.kind)
 		switch {
 		case m.status == wire.MachineFailed:
 			c.toDoom(m, "failed")
 		case m.newest == nil && m.status != wire.MachineRunning && !busy:
-			if t != nil && c.now.Sub(m.born) > config.Seconds(4*t.StartupS)+10*time.Second {
+			if c.neverCame(m) {
 				c.toDoom(m, "never came up")
 			}
 		case m.overSince != 0 && c.now.Sub(m.overSince) > c.overPatience(cutOff) && m.unanswered >= deafCalls:
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -24,6 +24,7 @@
 	nextShard   int
 	labelSets   map[machineKind]placement.Tags
 	unheard     bool       // most machines leave our calls unanswered: it is us, not them
+	up          int        // machines that are up, as far as known
 	asking      int        // machines that are being asked for their report
 	pushing     int        // machines that are being told their orders
 	callsAtOnce int        // direct calls to workers that may be under way at once
@@ -243,10 +244,13 @@
 	if m.newest != nil && !r.Newer(m.newest) {
 		return
 	}
-	before := m.tasks
+	before, first := m.tasks, m.newest == nil
 	c.backFrom(m)
 	m.newest, m.tasks, m.heard, m.shows = r, tasksOf(r), c.now, 0
 	m.addr, m.kind, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
+	if first {
+		c.cameUp(m)
+	}
 	m.recallAt = 0
 	if r.RecallS != nil {
 		m.recallAt = c.now.Add(time.Duration(*r.RecallS * float64(time.Second)))
@@ -265,6 +269,9 @@
 				c.took(timeStart, time.Duration(max(0, c.wall-j.at))*time.Millisecond)
 			}
 		}
+		if j := c.jobs[id.task.Job]; j != nil && j.strikes > 0 && t.State == wire.TaskRunning {
+			c.noteRuns(j)
+		}
 		if old := before[id]; t.State == wire.TaskExited && (old == nil || old.State != wire.TaskExited) {
 			c.noteExit(m, t)
 		}
@@ -406,38 +413,6 @@
 // before it counts as one that does not hear.
 const deafCalls = 2
 
-const (
-	avoidFull    = 3 * time.Second
-	avoidFaulty  = 2 * time.Minute
-	unknownPause = 2 * time.Second
-	badMachine   = 5 * time.Minute
-)
-
-// noteExit remembers what an exit says of its machine and its job. All of this
-// only steers the choice of machines.
-func (c *Core) noteExit(m *machine, t *wire.TaskReport) {
-	c.log.Debug("task ended", "task", t.Task, "attempt", t.Attempt, "machine", m.id, "cause", t.Cause, "stored", t.Stored)
-	j := c.jobs[t.Task.Job]
-	if j == nil {
-		return
-	}
-	switch t.Cause {
-	case wire.CauseNoRoom, wire.CauseInUse:
-		j.avoid[m.id] = c.now.Add(avoidFull)
-	case wire.CauseUnknown:
-		j.notBefore = c.now.Add(unknownPause)
-	case wire.CauseError:
-		j.avoid[m.id] = c.now.Add(avoidFaulty)
-		j.errors[m.id] = true
-		m.faults[j.id] = c.now
-		if n := len(j.errors); n >= 3 {
-			// It fails wherever it runs: the job is at fault, not the machines.
-			j.notBefore = c.now.Add(min(time.Second<<min(n-2, 6), time.Minute))
-		}
-		c.judge(m)
-	}
-}
-
 // sawImage notes that a machine has an image; of very many the one that was
 // seen longest ago is forgotten.
 func (c *Core) sawImage(m *machine, image string) {
@@ -531,23 +506,6 @@
 	return int(h.Sum32() % imageShards)
 }
 
-// judge calls a machine bad when jobs fail on it that do not fail elsewhere.
-func (c *Core) judge(m *machine) {
-	n := 0
-	for id := range m.faults {
-		if j := c.jobs[id]; j == nil || len(j.errors) < 3 {
-			n++
-		}
-	}
-	if n >= 2 && !c.after(m.badUntil) {
-		return
-	}
-	if n >= 2 {
-		m.badUntil = c.now.Add(badMachine)
-		c.log.Info("machine looks faulty", "machine", m.id, "jobs", n)
-	}
-}
-
 // hello answers a worker's report.
 func (c *Core) hello(in Reported) {
 	r := in.Report
@@ -893,6 +851,7 @@
 	c.sound()
 	uncleared, oldest := 0, false
 	deaf, reporting := 0, 0
+	c.up = 0
 	for _, id := range c.inOrder() {
 		m := c.machines[id]
 		if m.gone || c.now.Sub(c.lastSign(m)) > forgetAfter && c.now.Sub(m.listed) > forgetAfter {
@@ -902,6 +861,9 @@
 			}
 			continue
 		}
+		if !m.left() && (m.newest != nil || m.status == wire.MachineRunning) {
+			c.up++
+		}
 		uncleared = max(uncleared, len(m.uncleared))
 		oldest = oldest || len(m.uncleared) > 0
 		quiet := c.now.Sub(c.lastSign(m))
@@ -937,9 +899,11 @@
 	}
 }
 
-// deaf reports whether this controller reaches no workers, though there are some.
+// deaf reports whether this controller reaches no workers, though there are some
+// that are up: where machines were only just rented, or none comes up, nobody hears
+// any, and if all took that for their own fault nobody would rent others.
 func (c *Core) deaf() bool {
-	return c.ready && len(c.machines) > 0 && c.now.Sub(max(c.lastDirect, c.readyAt, c.awake)) > deafAfter
+	return c.ready && c.up > 0 && c.now.Sub(max(c.lastDirect, c.readyAt, c.awake)) > deafAfter
 }
 
 // inDoubt reports whether no worker has spoken to this controller for a moment,
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -26,6 +26,7 @@
 	countPlaced     = "tasks_placed"
 	countRelaxed    = "preferred_relaxed"
 	countPreempted  = "tasks_preempted"
+	countFailing    = "jobs_failing_everywhere"
 	countResent     = "launches_resent"
 	countFences     = "fences"
 	countTakeOvers  = "take_overs"
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -101,12 +101,12 @@
 func (c *Core) placeJob(p *placing, w *waiting) {
 	j := w.job
 	team := j.spec.Team
-	if !c.after(j.notBefore) {
-		j.why = "its tasks failed; trying again later"
+	count := c.trial(j, p.room(c, w))
+	whole := j.spec.Shape == wire.ShapeGang
+	if count == 0 && j.strikes > 0 {
+		j.why = "its tasks fail on every machine; some are tried now"
 		return
 	}
-	count := p.room(c, w)
-	whole := j.spec.Shape == wire.ShapeGang
 	if count == 0 {
 		j.why = "the team is at its limit"
 		return
@@ -198,7 +198,7 @@
 // before anything is placed: less urgent work within a guarantee comes before
 // urgent work beyond one, and would take them although it needs none.
 func (p *placing) keepFor(w *waiting, c *Core) {
-	if w.job.req.Need.Accelerators > 0 && c.after(w.job.notBefore) && p.room(c, w) > 0 {
+	if w.job.req.Need.Accelerators > 0 && w.job.strikes <= freeOnly && p.room(c, w) > 0 {
 		p.held, p.heldSpot = true, p.heldSpot || w.job.spec.Spot
 	}
 }
@@ -271,7 +271,7 @@
 	if *count == 0 || p.warmOnly {
 		return choices
 	}
-	if j.spec.Rank.Order() <= wire.RankHigh.Order() && c.coldSlow(j) {
+	if j.spec.Rank.Order() <= wire.RankHigh.Order() && j.strikes <= freeOnly && c.coldSlow(j) {
 		*count = c.awaitRoom(p, w, slices.Concat(j.req.Enforced, j.req.Preferred), *count, hasImage)
 	}
 	first := choices
@@ -358,6 +358,10 @@
 // freed, or have less urgent work stopped, or else stand in the backlog that
 // the buyer sees.
 func (c *Core) wanting(p *placing, w *waiting, count int) {
+	if w.job.strikes > freeOnly {
+		w.job.why = "its tasks fail on every machine; tried again when something is free"
+		return
+	}
 	if j := w.job; j.spec.Tasks > 1 && (j.spec.Shape == wire.ShapeGang || j.spec.Together && w.zone == "") {
 		zone, lacking := c.gather(p, w, count)
 		j.why = "not enough machines that fit have room at once"
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -218,7 +218,7 @@
 		if j.spec.Team != team {
 			continue
 		}
-		if done := j.done.Len(); mine && done >= j.spec.Tasks || done+c.placedOf(id) < j.spec.Tasks && c.places(j) {
+		if done := j.done.Len(); mine && done >= j.spec.Tasks || !c.paused(j) && done+c.placedOf(id) < j.spec.Tasks && c.places(j) {
 			return true
 		}
 	}
@@ -247,7 +247,7 @@
 		return true
 	}
 	for id, j := range c.jobs {
-		if (rest || j.spec.Rank == wire.RankCritical) && j.done.Len()+c.placedOf(id) < j.spec.Tasks && c.places(j) {
+		if (rest || j.spec.Rank == wire.RankCritical) && !c.paused(j) && j.done.Len()+c.placedOf(id) < j.spec.Tasks && c.places(j) {
 			return true
 		}
 	}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -31,6 +31,10 @@
 		if !rest && j.spec.Rank != wire.RankCritical {
 			continue
 		}
+		if c.paused(j) {
+			j.why = "its tasks failed; they are tried again after a pause"
+			continue
+		}
 		missing := Span(0, j.spec.Tasks).Without(j.done).Without(placed[id])
 		if r := c.teamOf(j.spec.Team).writing; r != nil {
 			missing = missing.Without(r.done[id])
@@ -42,7 +46,8 @@
 		}
 		w := waiting{job: j, missing: missing, promised: c.within[id]}
 		w.due, w.late = c.due(j)
-		w.overdue = c.waited(j) > overdueAfter && missing.Len() == j.spec.Tasks
+		// What fails everywhere has begun; it must not go ahead of others for ever.
+		w.overdue = c.waited(j) > overdueAfter && missing.Len() == j.spec.Tasks && j.strikes == 0
 		if j.spec.Together {
 			w.zone = zones[id]
 		}
@@ -89,7 +94,7 @@
 		}
 	}
 	for _, j := range c.jobs {
-		if j.spec.Shape == wire.ShapeService {
+		if j.spec.Shape == wire.ShapeService && j.strikes == 0 {
 			cores -= j.spec.Cores * float64(j.spec.Tasks)
 		}
 	}
@@ -163,6 +168,9 @@
 func (c *Core) promised() map[wire.JobID]bool {
 	byTeam := map[string][]*job{}
 	for _, j := range c.jobs {
+		if j.strikes > 0 {
+			continue // it takes nothing, so it takes up no guarantee
+		}
 		byTeam[j.spec.Team] = append(byTeam[j.spec.Team], j)
 	}
 	out := map[wire.JobID]bool{}
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -55,15 +55,13 @@
 	req   *placement.Request
 
 	// What follows is only known here.
-	notBefore Time
-	seen      Time
-	why       string // why tasks of it wait
-	started   bool   // its first start was counted
+	failing
+	seen    Time
+	why     string // why tasks of it wait
+	started bool   // its first start was counted
 	// launching is the attempt of a gang that is being launched, since launchFrom.
 	launching  wire.Attempt
 	launchFrom Time
-	errors     map[wire.MachineID]bool
-	avoid      map[wire.MachineID]Time
 }
 
 // doomed says why a machine is going, and since which revision that stands.
@@ -195,7 +193,8 @@
 	}
 	j := c.jobs[id]
 	if j == nil {
-		j = &job{id: id, errors: map[wire.MachineID]bool{}, avoid: map[wire.MachineID]Time{}}
+		j = &job{id: id}
+		j.errors, j.avoid = map[wire.MachineID]Time{}, map[wire.MachineID]Time{}
 		j.seen = c.now
 		c.jobs[id] = j
 		// While everything is read anew, a page may have come before its job.
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -212,6 +212,9 @@
 	t := &task{id: o.Task, attempt: o.Attempt, state: wire.TaskPulling, baton: m.baton}
 	m.tasks[taskKey{o.Task, o.Attempt}] = t
 	j := w.jobs[o.Task.Job]
+	if j != nil {
+		j.launched++
+	}
 	if j == nil {
 		w.breaks("invented: launch of %v, which nobody submitted", o.Task)
 		return
@@ -272,6 +275,10 @@
 
 func (m *machine) run(t *task, j *userJob) {
 	t.state = wire.TaskRunning
+	if j.mistaken {
+		m.w.after(time.Second, func() { m.act(func() { m.exit(t, wire.CauseError) }) })
+		return
+	}
 	if j.spec.Shape == wire.ShapeService {
 		return
 	}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -40,6 +40,12 @@
 	try()
 }
 
+// SubmitMistaken is Submit for a job whose tasks fail on every machine.
+func (w *World) SubmitMistaken(spec wire.JobSpec) {
+	w.jobs[spec.ID] = &userJob{spec: spec, mistaken: true, complete: map[int]bool{}, asked: w.now}
+	w.Submit(spec, 0)
+}
+
 // ask sends a request to some controller and gives up after 5 s.
 func (w *World) ask(makeInput func(core.RequestID) core.Input, then func(core.Reply, bool)) {
 	open := true
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -47,6 +47,8 @@
 	// SlowImage, if not 0, is how long a machine fetches an image that it lacks. It
 	// gives the fetch up when the task that waits for it ends.
 	SlowImage time.Duration
+	// Boot, if set, is how long a machine that is rented takes to come up.
+	Boot func(kind, zone string) time.Duration
 	// SlowState is added to the state service's answers.
 	SlowState time.Duration
 
@@ -110,6 +112,8 @@
 	answered  core.Time // when a question about it was last answered
 	began     core.Time // when a task of it first ran
 	complete  map[int]bool
+	mistaken  bool     // its tasks fail on every machine
+	launched  int      // launches of its tasks that workers obeyed
 	placed    []placed // its tasks on machines; those that no longer are go when it is next read
 }
 
@@ -579,7 +583,11 @@
 	}
 	var names []wire.MachineID
 	for range number {
-		names = append(names, w.AddMachine(w.types[i], h.Zone, h.Spot, time.Duration(1+w.rng.IntN(8))*time.Second).id)
+		boot := time.Duration(1+w.rng.IntN(8)) * time.Second
+		if w.Boot != nil {
+			boot = w.Boot(h.Type, h.Zone)
+		}
+		names = append(names, w.AddMachine(w.types[i], h.Zone, h.Spot, boot).id)
 	}
 	w.hires[h.Name] = names
 	return core.Hired{Names: names}
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -75,6 +75,10 @@
 	Placed  int    `json:"placed"`
 	Waiting int    `json:"waiting"`
 	Reason  string `json:"reason,omitempty"`
+	// FailedOn is on how many machines its tasks failed since one went well, and
+	// PausedS for how long it is not tried again.
+	FailedOn int     `json:"failed_on,omitempty"`
+	PausedS  float64 `json:"paused_s,omitempty"`
 }
 
 // AdminSettings is the operators' settings with their version.
