Ends cost one write; refused users are spread; fewer machines for work without a time

An end is written into the job's own record; old ends are moved in quiet moments. Users who are refused get a time of their own each. Work without objectives rents as work in no hurry does. Admin views: late machines, deaf and unheard controllers.

--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -115,12 +115,13 @@
 
 func (c *Core) viewControllers() []wire.AdminController {
 	out := []wire.AdminController{{Label: c.set.Label, Boot: c.boot, Alive: true, Buyer: c.buyer == c.boot, Self: true,
-		State: c.stateFresh(), Ledger: c.feed, Baton: c.baton}}
+		State: c.stateFresh(), Heard: true, Deaf: c.deaf(), Ledger: c.feed, Baton: c.baton}}
 	for _, s := range c.set.Siblings {
 		boot, alive := c.nodes[s.Label]
 		p := c.peers[s.Label]
 		out = append(out, wire.AdminController{Label: s.Label, Boot: boot, Alive: alive, Buyer: alive && c.buyer == boot,
-			State: p != nil && p.fresh && c.now.Sub(p.heard) < 3*beatEvery})
+			State: p != nil && p.fresh && c.now.Sub(p.heard) < 3*beatEvery,
+			Heard: p != nil && c.now.Sub(p.heard) <= peerSilence, Deaf: c.deafNodes[s.Label]})
 	}
 	return out
 }
@@ -166,7 +167,8 @@
 			continue
 		}
 		v := wire.AdminMachine{ID: id, Type: m.kind, Zone: m.zone, Spot: m.spot, Status: m.status,
-			SilentS: c.now.Sub(c.lastSign(m)).Seconds(), Faulty: !c.after(m.badUntil), Reserved: m.reserved, Recalled: m.recallAt != 0}
+			SilentS: c.now.Sub(c.lastSign(m)).Seconds(), Faulty: !c.after(m.badUntil), Reserved: m.reserved,
+			Late: m.unborn() && m.status == wire.MachineBooting && !c.coming(m), Recalled: m.recallAt != 0}
 		v.Doomed = c.dooms[id].why
 		for _, e := range c.onMachine[id] {
 			v.Tasks += e.Tasks.Len()
--- /dev/null
+++ b/internal/core/crowd_test.go
@@ -0,0 +1,44 @@
+package core
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+// TestRefusedUsersAreSpread: what cannot be taken is refused in the same step, and
+// users are told to come back one after the other, not all at once.
+func TestRefusedUsersAreSpread(t *testing.T) {
+	set := &config.Settings{Label: "rig-0", Cluster: config.Cluster{Zones: []string{"east"},
+		Teams: []config.Team{{Name: "guest"}}, State: config.State{ValueKB: 8, TxnOps: 12, RPS: 100, WriteRPS: 50}}}
+	c := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), 1)
+	c.catalogue = []wire.MachineType{{Name: "c4", Cores: 4, MemGB: 16, Zones: []string{"east"}}}
+	c.ready, c.loaded = true, true
+	taken, last := 0, time.Duration(0)
+	for i := range 1000 {
+		spec := wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Team: "guest", Shape: wire.ShapeArray,
+			Rank: wire.RankBestEffort, Tasks: 1, Cores: 1, MemGB: 1, Image: "img"}
+		c.out = c.out[:0]
+		c.submit(Submitted{Request: RequestID(i), Spec: spec})
+		require.Len(t, c.out, 1)
+		r, refused := c.out[0].(Reply)
+		if !refused {
+			taken++
+			continue
+		}
+		require.Equal(t, 503, r.Status)
+		require.LessOrEqual(t, r.RetryAfter, comeBackMost)
+		if taken+100 > i {
+			require.Greater(t, r.RetryAfter, last, "a time of its own")
+			last = r.RetryAfter
+		}
+	}
+	require.InDelta(t, 34, taken, 2, "0.8 s worth of writes")
+}
--- /dev/null
+++ b/internal/core/ends_test.go
@@ -0,0 +1,49 @@
+package core
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+// TestEndsAreFiled: of very many jobs that are over the oldest are moved to keys of
+// their own, each by one transaction that demands both keys as they were, so that a
+// late copy of a submission never finds both missing. What is moved stays known.
+func TestEndsAreFiled(t *testing.T) {
+	set := &config.Settings{Label: "rig-0", Cluster: config.Cluster{Zones: []string{"east"},
+		State: config.State{ValueKB: 8, TxnOps: 12, RPS: 100, WriteRPS: 50}}}
+	c := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), 1)
+	name := func(i int) wire.JobID { return wire.JobID(fmt.Sprintf("wk-%06d", i)) }
+	for i := range mostOver + 2 {
+		c.apply(jobKey(name(i)), encode(overRecord{finalRecord{wire.StatusDone, 1}}), wire.Ledger(i+1))
+	}
+	c.now, c.budgetAt, c.budget = Time(time.Hour), Time(time.Hour), 20
+	c.file()
+	require.Len(t, c.out, 1)
+	txn := c.out[0].(Commit).Txn
+	require.Len(t, txn.Then, 4)
+	for i := range 2 {
+		require.Contains(t, txn.If, wire.Condition{Key: jobKey(name(i)), Stamp: wire.Ledger(i + 1)})
+		require.Contains(t, txn.If, wire.Condition{Key: finalKey(name(i))})
+		require.Contains(t, txn.Then, wire.Change{Drop: jobKey(name(i))})
+	}
+	c.file()
+	require.Len(t, c.out, 1, "one at a time")
+	c.calls[c.nextCall].then(Committed{Ledger: 9000})
+	require.Len(t, c.over, mostOver)
+	for i := range mostOver + 2 {
+		f, ok := c.ended(name(i))
+		require.True(t, ok)
+		require.Equal(t, wire.StatusDone, f.Status)
+	}
+	c.now += Time(time.Minute)
+	c.file()
+	require.Len(t, c.out, 1, "few enough are left")
+}
--- a/internal/core/failing.go
+++ b/internal/core/failing.go
@@ -116,10 +116,11 @@
 	n := 0.0
 	for id, at := range m.faults {
 		j := c.jobs[id]
+		f, _ := c.ended(id)
 		switch {
 		case c.now.Sub(at) > badMachine:
 			delete(m.faults, id)
-		case j == nil && c.finals[id].Status == wire.StatusDone, j != nil && len(j.errors) < brokenLeast && j.well:
+		case j == nil && f.Status == wire.StatusDone, j != nil && len(j.errors) < brokenLeast && j.well:
 			n++
 		case j != nil && len(j.errors) < brokenLeast:
 			n += 0.5
--- /dev/null
+++ b/internal/core/orders.go
@@ -0,0 +1,267 @@
+package core
+
+import (
+	"time"
+
+	"lilacrill/wire"
+)
+
+// mayPush reports whether a machine may be told its orders now; if not, it is
+// once other calls are over.
+func (c *Core) mayPush(m *machine) bool {
+	most := c.callsAtOnce - c.callsAtOnce/asksPart
+	urgent := c.pressing(m)
+	if !urgent {
+		most -= most / urgentPart
+	}
+	if c.pushing < max(1, most) {
+		return true
+	}
+	if !m.held {
+		m.held = true
+		if urgent {
+			c.heldUrgent = append(c.heldUrgent, m)
+		} else {
+			c.heldRest = append(c.heldRest, m)
+		}
+	}
+	return false
+}
+
+// pushHeld sends the orders of machines that waited for other calls to end.
+func (c *Core) pushHeld() {
+	for _, held := range []*[]*machine{&c.heldUrgent, &c.heldRest} {
+		for len(*held) > 0 {
+			m := (*held)[0]
+			m.held = false
+			*held = (*held)[1:]
+			c.pushNow(m)
+			if m.held {
+				return // it is in line again: too many are still under way
+			}
+		}
+	}
+}
+
+// maxOrders keeps an answer to a worker under the protocol's 64 KiB.
+const maxOrders = 400
+
+func windup(s float64) *float64 { return &s }
+
+// ordersFor says what a machine has to be told, going by its newest report and
+// the records.
+func (c *Core) ordersFor(m *machine) []wire.Order {
+	var orders []wire.Order
+	r := m.newest
+	m.holding = false
+	for _, e := range c.onMachine[m.id] {
+		if e.Shift != r.Shift {
+			continue
+		}
+		j := c.jobs[e.Job]
+		for i := range e.Tasks.All {
+			if len(orders) >= maxOrders {
+				return orders
+			}
+			id := wire.TaskID{Job: e.Job, Index: i}
+			t := m.tasks[e.key(i)]
+			switch {
+			case t == nil:
+				// Only the recorded launcher launches, and after a take-over only
+				// when the worker has seen the baton that fences off the one before.
+				if j == nil || e.Halt != HaltNo || e.Launcher != c.boot || r.Baton < e.Fence {
+					continue
+				}
+				if c.holdsBack(m, e, j) {
+					m.holding = true
+					continue
+				}
+				orders = append(orders, wire.Order{Verb: wire.VerbLaunch, Task: id, Attempt: e.Attempt})
+			case t.State == wire.TaskExited:
+			case j == nil || e.Halt == HaltAtOnce:
+				orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: id, Attempt: e.Attempt, WindupS: windup(0)})
+			case e.Halt == HaltSave && t.State != wire.TaskFlushing:
+				orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: id, Attempt: e.Attempt, WindupS: windup(j.spec.StashS + saveMargin)})
+			}
+		}
+	}
+	return orders
+}
+
+const (
+	// saveMargin is granted on top of what a job says it needs to save.
+	saveMargin = 3.0
+	// strayPatience is how long a task without a record may be reported before
+	// it is stopped: the record may be on its way to us.
+	strayPatience = 5 * time.Second
+)
+
+// clears says which ended tasks a machine may forget. A cleared attempt would
+// start again if a launch of it were still under way, so first its entry must
+// be gone from the records, then the baton raised, and then the worker must
+// have seen that baton: no launch sent before can pass it, and no controller
+// that knows it sends one.
+func (c *Core) clears(m *machine) []wire.Order {
+	var orders []wire.Order
+	recorded := map[attemptKey]bool{}
+	for _, e := range c.onMachine[m.id] {
+		for i := range e.Tasks.All {
+			recorded[e.key(i)] = true
+		}
+	}
+	seen := map[attemptKey]bool{}
+	var fresh []attemptKey
+	for i := range m.newest.Tasks {
+		t := &m.newest.Tasks[i]
+		key := attemptKey{t.Task, t.Attempt}
+		if recorded[key] {
+			continue
+		}
+		seen[key] = true
+		if t.State != wire.TaskExited {
+			since, ok := m.strays[key]
+			if !ok {
+				m.strays[key] = c.now
+			} else if c.whole() && c.stateFresh() && c.now.Sub(max(since, c.awake)) > strayPatience && len(orders) < maxOrders {
+				orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, WindupS: windup(0)})
+			}
+			continue
+		}
+		without, ok := m.uncleared[key]
+		if !ok {
+			without = notYet
+			m.uncleared[key] = without
+			fresh = append(fresh, key)
+		}
+		if c.batonStamp > without && m.newest.Baton >= c.baton && len(orders) < maxOrders {
+			orders = append(orders, wire.Order{Verb: wire.VerbClear, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	if len(fresh) > 0 {
+		c.barrier(func(ok bool) { c.noteGone(m, fresh, ok) })
+	}
+	for key := range m.uncleared {
+		if !seen[key] {
+			delete(m.uncleared, key)
+		}
+	}
+	for key := range m.strays {
+		if !seen[key] {
+			delete(m.strays, key)
+		}
+	}
+	return orders
+}
+
+// notYet is a revision that no baton is ever newer than.
+const notYet = ^wire.Ledger(0)
+
+// noteGone notes, after a barrier, that ended attempts have no entry. Without
+// the barrier the entry could merely be on its way to us: the attempt would be
+// cleared, launched again by its launcher, and then taken for ended.
+func (c *Core) noteGone(m *machine, keys []attemptKey, ok bool) {
+	if !ok {
+		for _, key := range keys {
+			delete(m.uncleared, key)
+		}
+		return
+	}
+	for _, key := range keys {
+		if _, open := m.uncleared[key]; !open {
+			continue
+		}
+		m.uncleared[key] = max(c.feed, c.written)
+		for _, e := range c.onMachine[m.id] {
+			if e.Job == key.task.Job && e.Attempt == key.attempt && e.Tasks.Has(key.task.Index) {
+				delete(m.uncleared, key)
+			}
+		}
+	}
+}
+
+// push sends a machine what it has to be told, directly, and reports whether
+// there was anything.
+func (c *Core) push(m *machine) bool {
+	if m.pushing || m.newest == nil || m.gone || !c.after(m.pushAt) || !c.ready {
+		return false
+	}
+	if m.newest.Baton > c.baton {
+		c.barrier(func(bool) {})
+		return false
+	}
+	if m.settled == m.newest {
+		return false
+	}
+	orders := c.ordersFor(m)
+	fenced := len(orders) == 0 && c.unfenced(m)
+	if len(orders) == 0 && !fenced {
+		if !m.holding {
+			m.settled = m.newest
+		}
+		return false
+	}
+	if !c.mayPush(m) {
+		return false
+	}
+	if fenced {
+		orders = []wire.Order{} // only to be shown the baton
+	}
+	m.pushing = true
+	c.pushing++
+	m.pushAt = c.now.Add(pushRetry)
+	asked := c.now
+	c.do(Order{call(c, func(a Answered) {
+		m.pushing = false
+		c.pushing--
+		c.reached(m, asked, a)
+		c.answered(m, a)
+		if m.again {
+			c.pushNow(m)
+		}
+		c.pushHeld()
+	}), m.addr, wire.DoRequest{Baton: c.baton, Shift: m.newest.Shift, Orders: orders}})
+	return true
+}
+
+// unfenced reports whether a machine has not seen the baton that something on
+// it waits for: until its next report, which may be far off, nothing else would
+// show it.
+func (c *Core) unfenced(m *machine) bool {
+	for _, e := range c.onMachine[m.id] {
+		if e.Shift == m.newest.Shift && e.Fence > m.newest.Baton && e.Fence <= c.baton && (e.Launcher == c.boot || c.mine(e.page.team)) {
+			return true
+		}
+	}
+	return false
+}
+
+// pushNow sends what has just been decided.
+func (c *Core) pushNow(m *machine) {
+	if m.pushing {
+		m.again = true
+		return
+	}
+	m.again = false
+	m.pushAt = c.now
+	c.push(m)
+}
+
+func (c *Core) pushJob(id wire.JobID) {
+	for _, e := range c.ofJob[id] {
+		if m := c.machines[e.Machine]; m != nil {
+			c.pushNow(m)
+		}
+	}
+}
+
+// raiseBaton makes a fence so that ended tasks can be cleared.
+func (c *Core) raiseBaton() {
+	if !c.after(c.lastBump.Add(10 * time.Second)) {
+		return
+	}
+	c.lastBump = c.now
+	c.commit(ClassRest, wire.Transaction{
+		If:   []wire.Condition{{Key: batonKey, Stamp: c.ver[batonKey]}},
+		Then: []wire.Change{put(batonKey, c.baton+1)},
+	}, func(Committed) { c.barrier(func(bool) {}) })
+}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -19,15 +20,15 @@
 	buyerKey    = "l/buyer"
 	settingsKey = "l/settings"
 	nodePrefix  = "l/n/" // + label: the controllers that are alive
-	jobPrefix   = "l/j/" // + job: jobs that are not over
-	finalPrefix = "l/f/" // + job: how jobs ended, for ever
+	jobPrefix   = "l/j/" // + job: jobs that are not over, and how the latest ended
+	finalPrefix = "l/f/" // + job: how older ones ended, for ever
 	pagePrefix  = "l/p/" // + team/zone/page: placement records
 	doomKey     = "l/m"  // the machines about to be returned
 	imagePrefix = "l/i/" // + number: images that machines were seen to have
 )
 
-// loadPrefixes are read when a controller starts. Final states are not: they
-// are kept for ever, and read when somebody asks.
+// loadPrefixes are read when a controller starts. Final states under keys of their
+// own are not: they are kept for ever, and read when somebody asks.
 //
 // Jobs are read before placement records, which speak of them.
 var loadPrefixes = []string{"l/b", "l/i/", "l/j/", "l/m", "l/n/", "l/p/", "l/s"}
@@ -54,8 +55,17 @@
 	At int64 `json:"at"`
 	// By is the boot of the controller that accepted it and places it first.
 	By wire.Baton `json:"by"`
+	// Over, if set, is how it ended, and all that is left of it.
+	Over *finalRecord `json:"over,omitempty"`
 }
 
+// overRecord is what a job's record becomes when it ends.
+type overRecord struct {
+	Over finalRecord `json:"over"`
+}
+
+var errNotFinal = errors.New("not a final state")
+
 // finalRecord is how a job ended.
 type finalRecord struct {
 	Status wire.Status `json:"status"`
--- /dev/null
+++ b/internal/core/returning.go
@@ -0,0 +1,294 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+// cut is a zone that seems to be cut off.
+type cut struct {
+	since  Time // when it last seemed so
+	silent int  // machines in it that were silent then
+}
+
+// whyIdle is why machines are returned that nothing stands on.
+const whyIdle = "idle"
+
+// spoil finds machines that should go: dead, silent, never up, or idle.
+func (c *Core) spoil() {
+	for id := range c.onMachine {
+		c.machineOf(id) // one that neither reports nor is listed is silent too
+	}
+	silence, idle := config.Seconds(c.chosen.SilenceS), config.Seconds(c.chosen.IdleS)
+	silent, reporting := 0, 0
+	bySilent, byHeard, lastHeard := map[string]int{}, map[string]int{}, map[string]Time{}
+	for id, m := range c.machines {
+		// What we return ourselves falls silent, which says nothing about us.
+		if _, going := c.dooms[id]; m.newest != nil && !m.left() && !going {
+			reporting++
+			lastHeard[m.zone] = max(lastHeard[m.zone], m.heard)
+			// Reports may be further apart than that: only what was asked and did
+			// not answer is silent, or should have been asked by somebody long ago. Where all that had no reason to report counted, a
+			// zone that was cut off was never seen to be, and with one sibling out of
+			// hearing no machine was given up.
+			switch quiet := c.now.Sub(c.lastSign(m)); {
+			case quiet <= silence/2:
+				byHeard[m.zone]++
+			case m.shows > 0 || quiet > c.silentAsk(m)+askedBySome:
+				bySilent[m.zone]++
+				silent++
+			}
+		}
+	}
+	for zone, n := range bySilent {
+		// Nearly all of a zone at once, while others are heard: it is cut off. Seen
+		// before the first of them would be given up.
+		if n > 2 && n > 3*byHeard[zone] && 2*silent < reporting {
+			c.cutZones[zone] = cut{c.now, n}
+		}
+	}
+	for zone, seen := range c.cutZones {
+		if c.now.Sub(seen.since) > cutFor || lastHeard[zone] > seen.since.Add(silence) {
+			delete(c.cutZones, zone)
+		}
+	}
+	// Many silent at once, and no sibling that hears them: it may be us who is
+	// cut off.
+	cutOff := silent > 2 && 2*silent > reporting && !c.siblingsWell() ||
+		c.inDoubt() && (silent < reporting || !c.siblingsWell())
+	for _, id := range c.inOrder() {
+		m := c.machines[id]
+		if _, going := c.dooms[id]; m.gone || m.left() && len(c.onMachine[id]) == 0 || c.dooming[id] != "" || going {
+			continue
+		}
+		quiet := c.now.Sub(c.lastSign(m))
+		if !slices.ContainsFunc(c.onMachine[id], func(e *Entry) bool { return c.jobs[e.Job] == nil }) {
+			m.overSince = 0
+		} else if m.overSince == 0 {
+			m.overSince = c.now
+		}
+		busy := len(c.onMachine[id]) > 0
+		if busy || m.reserved || m.newest == nil {
+			m.idleSince = 0
+		} else if m.idleSince == 0 {
+			m.idleSince = c.now
+		}
+		switch {
+		case m.status == wire.MachineFailed:
+			c.toDoom(m, "failed")
+		case m.newest == nil && m.status != wire.MachineRunning && !busy:
+			if c.neverCame(m) {
+				c.toDoom(m, "never came up")
+			}
+		case m.overSince != 0 && c.now.Sub(m.overSince) > c.overPatience(cutOff) && m.unanswered >= deafCalls:
+			// Tasks of jobs that are over must be gone in time, and it cannot be
+			// told: whatever the bounds, it goes.
+			c.toDoom(m, "holds ended work")
+		case quiet > c.lenience(m, silence) && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
+			if c.mayGiveUp(m, reporting) {
+				c.toDoom(m, "silent")
+			}
+		case m.deaf() && m.heard > m.deafSince && !c.unheard && !cutOff &&
+			c.now.Sub(m.deafSince) > config.Seconds(c.set.Cluster.Workers.LeaseS/2):
+			// Its reports come, but it hears nothing: its lease runs out unseen. One
+			// whose reports do not come either is silent, and may be in a zone that is
+			// cut off: once all machines of such a zone went this way.
+			if c.mayGiveUp(m, reporting) {
+				c.toDoom(m, "unreachable")
+			}
+		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idle && c.lacking == 0 &&
+			(len(c.backlog) == 0 || c.tooDear(m) || c.now.Sub(m.idleSince) > 2*idle): // what waits cannot use it
+			c.toDoom(m, whyIdle)
+		}
+	}
+}
+
+// overPatience is how long a machine may hold ended work that it cannot be told
+// to stop. While it may be us who cannot be heard, others have time to do it.
+func (c *Core) overPatience(cutOff bool) time.Duration {
+	part := overPart
+	if cutOff {
+		part = overPartCut
+	}
+	return config.Seconds(part * c.set.Cluster.Workers.CancelS)
+}
+
+// isCut reports whether a zone seems to be cut off. Nothing is rented there
+// meanwhile: what came up would be silent, be returned, and be rented again.
+func (c *Core) isCut(zone string) bool {
+	_, cut := c.cutZones[zone]
+	return cut
+}
+
+// lenience is how long a machine may be silent before it is given up. What hangs
+// often goes on after a while: where nothing urgent stands on it, waiting costs
+// less than to start its work anew on a machine that has yet to boot.
+func (c *Core) lenience(m *machine, silence time.Duration) time.Duration {
+	for _, e := range c.onMachine[m.id] {
+		if e.Rank == wire.RankCritical.Order() {
+			if c.cutZones[m.zone].silent >= cutLeast {
+				// A zone that is cut off works on, and its workers' leases last for a
+				// while: so long nothing on it is lost, unless we return it.
+				w := &c.set.Cluster.Workers
+				return max(silence, config.Seconds(w.LeaseS-1.25*w.ReportS))
+			}
+			return silence
+		}
+	}
+	if t := c.kind(m.kind); t != nil && t.Accelerators > 0 {
+		if c.isCut(m.zone) {
+			// They could not be replaced in their zone, and are the scarcest: once the
+			// zone is back, they are there with their images.
+			return cutLeases * config.Seconds(c.set.Cluster.Workers.LeaseS)
+		}
+		// Until all of the zone had reason to report, it may be cut off.
+		silence += config.Seconds(1.3 * c.set.Cluster.Workers.ReportS)
+	}
+	for _, e := range c.onMachine[m.id] {
+		if e.Rank == wire.RankHigh.Order() {
+			return silence
+		}
+	}
+	return max(silence, 2*config.Seconds(c.set.Cluster.Workers.ReportS))
+}
+
+// siblingsWell reports whether all other living controllers talk to us.
+func (c *Core) siblingsWell() bool {
+	for label := range c.nodes {
+		if label == c.set.Label {
+			continue
+		}
+		if p := c.peers[label]; p == nil || c.now.Sub(p.heard) > 3*beatEvery {
+			return false
+		}
+	}
+	return len(c.nodes) > 1
+}
+
+// mayGiveUp bounds how many silent machines go at once. A part of the bound is kept
+// for machines that somebody waits for at every moment: when a hundred hang, those
+// without a replica, which were silent first, would use it up for seconds.
+func (c *Core) mayGiveUp(m *machine, reporting int) bool {
+	c.silentAt = slices.DeleteFunc(c.silentAt, func(t Time) bool { return c.now.Sub(t) > silentWindow })
+	most := max(silentLeast, reporting/silentPart)
+	if !c.pressing(m) {
+		most -= most / pressingPart
+	}
+	if len(c.silentAt) >= most {
+		return false
+	}
+	c.silentAt = append(c.silentAt, c.now)
+	return true
+}
+
+// toDoom notes that a machine is to be returned; it is written down with the
+// others of the moment.
+func (c *Core) toDoom(m *machine, why string) {
+	c.dooming[m.id] = why
+	c.log.Info("machine to be returned", "machine", m.id, "why", why, "quiet", c.now.Sub(c.lastSign(m)), "unanswered", m.unanswered)
+}
+
+// writeDoom writes down which machines are going and which are gone. Placements
+// demand that this record is as they saw it, so none can slip in unseen.
+func (c *Core) writeDoom() {
+	if c.doomCall || !c.after(c.nextDoom) {
+		return
+	}
+	next := doomRecord{Going: map[string][]wire.MachineID{}}
+	changed := len(c.dooming) > 0
+	room := c.pageLimit() - len(`{"going":{},"gone":[]}`)
+	keep := func(list []wire.MachineID, id wire.MachineID) []wire.MachineID {
+		room -= len(id) + len(`"",`)
+		return append(list, id)
+	}
+	for _, id := range sortedKeys(c.dooms) {
+		d := c.dooms[id]
+		switch m := c.machineOf(id); {
+		case m.gone:
+			changed = true
+			if len(c.onMachine[id]) > 0 {
+				next.Gone = keep(next.Gone, id)
+			}
+		case d.why == whyIdle && len(c.onMachine[id]) > 0 && !c.returned[id]:
+			changed = true // it got work before its end was written down: keep it
+		default:
+			next.Going[d.why] = keep(next.Going[d.why], id)
+		}
+	}
+	for _, id := range c.doom.Gone {
+		if len(c.onMachine[id]) == 0 {
+			changed = true
+		} else {
+			next.Gone = keep(next.Gone, id)
+		}
+	}
+	if !changed {
+		return
+	}
+	taken := make([]wire.MachineID, 0, len(c.dooming))
+	for _, id := range sortedKeys(c.dooming) {
+		why := c.dooming[id]
+		if next.Going[why] == nil {
+			room -= len(why) + len(`"":[],`)
+		}
+		if room > 0 && c.machineOf(id) != nil {
+			next.Going[why] = keep(next.Going[why], id)
+			taken = append(taken, id)
+		}
+	}
+	c.doomCall = true
+	c.nextDoom = c.now.Add(doomEvery)
+	// One write for all that goes, which replicas wait for: ahead of submissions.
+	c.commit(ClassUrgent, wire.Transaction{
+		If:   []wire.Condition{{Key: doomKey, Stamp: c.ver[doomKey]}},
+		Then: []wire.Change{put(doomKey, next)},
+	}, func(r Committed) {
+		c.doomCall = false
+		if r.Outcome != NotDone {
+			for _, id := range taken {
+				delete(c.dooming, id)
+			}
+		}
+		if r.Outcome != Done {
+			c.barrier(func(bool) {})
+		}
+	})
+}
+
+// giveBack returns doomed machines. The cloud's 200 means that they and all on
+// them are gone; only then do their tasks leave the records.
+func (c *Core) giveBack() {
+	if c.returning {
+		return
+	}
+	var names []wire.MachineID
+	for _, id := range sortedKeys(c.dooms) {
+		d := c.dooms[id]
+		if m := c.machineOf(id); m.gone || d.since > c.feed || len(names) == wire.MaxReturn ||
+			d.why == whyIdle && len(c.onMachine[id]) > 0 && !c.returned[id] {
+			continue
+		}
+		names = append(names, id)
+		c.returned[id] = true
+	}
+	if len(names) == 0 {
+		return
+	}
+	c.returning = true
+	c.do(ReturnMachines{call(c, func(r GivenBack) {
+		c.returning = false
+		c.outcome(r.Outcome, countCloudNot, countCloudLost)
+		if r.Outcome != Done {
+			return
+		}
+		for _, id := range names {
+			m := c.machineOf(id)
+			m.gone, m.goneAt, c.dirty = true, c.now, true
+			c.count(countReturned+c.dooms[id].why, 1)
+			delete(c.returned, id)
+		}
+	}), names})
+}
--- a/internal/core/rounds.go
+++ b/internal/core/rounds.go
@@ -69,9 +69,8 @@
 // end has a round end a job.
 func (c *Core) end(r *round, j *job) {
 	r.ends[j.id] = true
-	r.ops += 2
+	r.ops++
 	r.conds[jobKey(j.id)] = j.stamp
-	r.conds[finalKey(j.id)] = 0
 }
 
 // write commits a round and, once it stands, tells the machines.
@@ -90,8 +89,7 @@
 		txn.Then = append(txn.Then, put(key, d.value()))
 	}
 	for _, id := range sortedKeys(r.ends) {
-		txn.Then = append(txn.Then, put(finalKey(id), finalRecord{Status: wire.StatusDone, Done: c.jobs[id].spec.Tasks}),
-			wire.Change{Drop: jobKey(id)})
+		txn.Then = append(txn.Then, put(jobKey(id), overRecord{finalRecord{Status: wire.StatusDone, Done: c.jobs[id].spec.Tasks}}))
 	}
 	if r.bump {
 		txn.Then = append(txn.Then, put(batonKey, c.baton+1))
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -179,7 +179,11 @@
 // tickGarbage rewrites placement records that nothing stands on but what was
 // done of jobs that are over; others lose that when they are next written.
 func (c *Core) tickGarbage() {
-	if !c.whole() || !c.stateFresh() || c.sweeping || !c.after(c.nextSweep) || !c.affords() {
+	if !c.whole() || !c.stateFresh() {
+		return
+	}
+	c.file()
+	if c.sweeping || !c.after(c.nextSweep) || !c.affords() {
 		return
 	}
 	c.nextSweep = c.now.Add(2 * time.Second)
--- /dev/null
+++ b/internal/core/spares.go
@@ -0,0 +1,80 @@
+package core
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"lilacrill/internal/capacity"
+	"lilacrill/internal/placement"
+	"lilacrill/wire"
+)
+
+// reserve keeps room free for tasks that must start at once, before less urgent
+// ones are placed.
+func (c *Core) reserve(fleet placement.Fleet) {
+	for _, m := range c.machines {
+		m.reserved = false
+	}
+	c.lacking = 0
+	for _, s := range c.spares() {
+		left := s.Count
+		for _, ch := range fleet.Choose(s.Request, s.Count, "", placement.Options{
+			Relax: true,
+		}) {
+			left -= ch.Count
+			c.machines[ch.Machine].reserved = true
+		}
+		c.lacking += left
+	}
+}
+
+// spares is the room to be kept free: for every class that is promised a short
+// wait, for some part of the tasks it has now.
+func (c *Core) spares() []capacity.Demand {
+	type seen struct {
+		spec  *wire.JobSpec
+		tasks int
+	}
+	// By class and image: room on a machine that must fetch the image first
+	// would not do.
+	type key struct{ class, image string }
+	classes := map[key]*seen{}
+	for _, id := range sortedKeys(c.jobs) {
+		j := c.jobs[id]
+		if j.strikes > 0 {
+			continue
+		}
+		k := key{j.spec.Class, j.spec.Image}
+		s := classes[k]
+		if s == nil {
+			s = &seen{}
+			classes[k] = s
+		}
+		s.spec = &j.spec
+		s.tasks += j.spec.Tasks - j.done.Len()
+	}
+	promised := map[string]bool{}
+	for _, o := range c.set.Cluster.Objectives {
+		if o.Kind == "wait" {
+			promised[o.Class] = true
+		}
+	}
+	keys := slices.SortedFunc(maps.Keys(classes), func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.image, b.image))
+	})
+	var out []capacity.Demand
+	for _, k := range keys {
+		s := classes[k]
+		// Work that is not critical has its room made by stopping others.
+		if !promised[k.class] || s.spec.Rank != wire.RankCritical {
+			continue
+		}
+		spec := *s.spec
+		spec.ID, spec.Zone, spec.Apart, spec.Together, spec.Shape = "", "", false, false, wire.ShapeArray
+		out = append(out, capacity.Demand{Request: placement.NewRequest(&spec),
+			Count: c.chosen.SpareLeast + int(math.Ceil(c.chosen.SpareShare*float64(s.tasks)))})
+	}
+	return out
+}
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -27,7 +27,10 @@
 	batonStamp wire.Ledger
 
 	jobs      map[wire.JobID]*job
-	finals    map[wire.JobID]finalRecord
+	finals    map[wire.JobID]finalRecord // of jobs whose final states have keys of their own: a cache
+	over      map[wire.JobID]finalRecord // of jobs in whose records they stand: all of them
+	filing    bool
+	nextFile  Time
 	teams     map[string]*team
 	nodes     map[string]wire.Baton
 	deafNodes map[string]bool
@@ -40,6 +43,7 @@
 	barrierOpen bool
 	barrierFrom Time            // not before, so that users who ask do not use up the tokens
 	accepting   int             // submissions being written
+	turnAt      Time            // when the last user who was refused was told to come back
 	waiting     []func(ok bool) // served by the barrier in flight
 	queued      []func(ok bool) // served by the one after it
 }
@@ -86,6 +90,7 @@
 	s.dropped = map[string]wire.Ledger{}
 	s.jobs = map[wire.JobID]*job{}
 	s.finals = map[wire.JobID]finalRecord{}
+	s.over = map[wire.JobID]finalRecord{}
 	s.teams = map[string]*team{}
 	s.nodes = map[string]wire.Baton{}
 	s.deafNodes = map[string]bool{}
@@ -106,12 +111,9 @@
 func (c *Core) apply(key string, value json.RawMessage, stamp wire.Ledger) {
 	if id, ok := strings.CutPrefix(key, finalPrefix); ok {
 		// Written once and never changed, so there is no version to keep.
-		var f finalRecord
-		if err := json.Unmarshal(value, &f); err != nil || !f.Status.Final() {
+		if err := c.applyFinal(wire.JobID(id), value); err != nil {
 			c.log.Error("final state not understood", "key", key, "err", err)
-			return
 		}
-		c.remember(wire.JobID(id), f)
 		return
 	}
 	if stamp <= c.ver[key] {
@@ -168,29 +170,29 @@
 	}
 }
 
-func (c *Core) remember(id wire.JobID, f finalRecord) {
-	if len(c.finals) >= maxFinals {
-		for old := range c.finals {
-			delete(c.finals, old)
-			break
-		}
-	}
-	c.finals[id] = f
-}
-
 func (c *Core) applyJob(id wire.JobID, value json.RawMessage, stamp wire.Ledger) error {
 	c.dirty = true
 	for _, e := range c.ofJob[id] {
 		c.unsettle(e.Machine)
 	}
 	if value == nil {
+		// It was moved, in the same change, to a key of its own.
 		delete(c.jobs, id)
+		delete(c.over, id)
 		return nil
 	}
 	var r jobRecord
 	if err := json.Unmarshal(value, &r); err != nil {
 		return err
 	}
+	if r.Over != nil {
+		if !r.Over.Status.Final() {
+			return errNotFinal
+		}
+		delete(c.jobs, id)
+		c.over[id] = *r.Over
+		return nil
+	}
 	j := c.jobs[id]
 	if j == nil {
 		j = &job{id: id}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -19,6 +19,11 @@
 	// line, and acceptLeast how many of them in any case.
 	acceptAhead = 800 * time.Millisecond
 	acceptLeast = 4
+	// acceptPart is the part of the writes that submissions can be expected to get
+	// while many wait, and comeBackMost the longest time that a user is told: they
+	// give up after a minute.
+	acceptPart   = 0.8
+	comeBackMost = 14 * time.Second
 )
 
 func (c *Core) reply(r RequestID, status int, body any) {
@@ -49,7 +54,7 @@
 }
 
 func (c *Core) submit(in Submitted) {
-	if f, ok := c.finals[in.Spec.ID]; ok {
+	if f, ok := c.ended(in.Spec.ID); ok {
 		c.reply(in.Request, http.StatusOK, finalStatus(in.Spec.ID, f))
 		return
 	}
@@ -91,8 +96,7 @@
 	id := in.Spec.ID
 	if rate := c.writeRate(); float64(c.accepting) >= max(acceptLeast, rate*acceptAhead.Seconds()) {
 		// More would only wait in line until their users ask again.
-		c.refuse(in.Request, http.StatusServiceUnavailable, "too many submissions at once",
-			comeBack+config.Seconds(float64(c.accepting)/rate))
+		c.refuse(in.Request, http.StatusServiceUnavailable, "too many submissions at once", c.nextTurn())
 		return
 	}
 	c.accepting++
@@ -134,6 +138,18 @@
 	})
 }
 
+// nextTurn is when a user whose submission cannot be taken now should come back:
+// each is given a time of its own, as far apart as submissions can be written.
+// Told the same, all would come back at once, and most of them in vain.
+func (c *Core) nextTurn() time.Duration {
+	c.turnAt = max(c.turnAt, c.now.Add(comeBack)).Add(config.Seconds(1 / (c.writeRate() * acceptPart)))
+	wait := c.turnAt.Sub(c.now)
+	if wait > comeBackMost {
+		wait = comeBackMost - time.Duration(c.rand.Int64N(int64(comeBackMost/2)))
+	}
+	return wait
+}
+
 // neverRuns says why a job can never run, or "".
 func (c *Core) neverRuns(j *wire.JobSpec) string {
 	t := c.teamSettings(j.Team)
@@ -177,7 +193,7 @@
 // controller may have told its user something newer. If that cannot be done,
 // it answers the request itself.
 func (c *Core) lookUp(r RequestID, id wire.JobID, then func(s wire.JobStatus, found bool)) {
-	if f, ok := c.finals[id]; ok {
+	if f, ok := c.ended(id); ok {
 		then(finalStatus(id, f), true)
 		return
 	}
@@ -189,7 +205,7 @@
 			c.unavailable(r, "state service unavailable")
 			return
 		}
-		if f, ok := c.finals[id]; ok {
+		if f, ok := c.ended(id); ok {
 			then(finalStatus(id, f), true)
 			return
 		}
@@ -201,7 +217,7 @@
 			switch f.Outcome {
 			case Done:
 				c.apply(finalKey(id), f.Value, f.Stamp)
-				if f, ok := c.finals[id]; ok {
+				if f, ok := c.ended(id); ok {
 					then(finalStatus(id, f), true)
 				} else {
 					c.unavailable(r, "record not understood")
@@ -258,8 +274,8 @@
 		}
 		end := finalRecord{Status: wire.StatusWithdrawn, Done: s.Done}
 		c.commit(ClassUrgent, wire.Transaction{
-			If:   []wire.Condition{{Key: jobKey(id), Stamp: j.stamp}, {Key: finalKey(id)}},
-			Then: []wire.Change{put(finalKey(id), end), {Drop: jobKey(id)}},
+			If:   []wire.Condition{{Key: jobKey(id), Stamp: j.stamp}},
+			Then: []wire.Change{put(jobKey(id), overRecord{end})},
 		}, func(done Committed) {
 			switch done.Outcome {
 			case Done:
--- /dev/null
+++ b/internal/core/workers.go
@@ -0,0 +1,103 @@
+package core
+
+import (
+	"net/http"
+	"time"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+// hello answers a worker's report.
+func (c *Core) hello(in Reported) {
+	r := in.Report
+	if !c.ready {
+		c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "starting"}})
+		return
+	}
+	if r.Baton > c.baton {
+		// Somebody raised the baton; until we know everything that was written
+		// before, we are not entitled to command this worker.
+		c.barrier(func(bool) {
+			if r.Baton > c.baton {
+				c.sendAway(in.Request)
+				return
+			}
+			c.answerWorker(in)
+		})
+		return
+	}
+	if !c.stateFresh() && c.alone() && c.now.Sub(c.stateOK) > c.aloneLimit() {
+		// What stands on this worker may have been withdrawn since.
+		c.hear(r, true)
+		c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "cut off"}})
+		return
+	}
+	if !c.stateFresh() && (c.fresherPeer() != "" || c.sendsOn(c.machineOf(r.Machine))) {
+		c.hear(r, true)
+		c.sendAway(in.Request)
+		return
+	}
+	c.answerWorker(in)
+}
+
+// sendsOn reports whether a worker is to try another controller. One that has
+// lost the state service and all its siblings cannot tell whether that is an
+// outage, in which its workers' leases hang on it alone, or whether the others
+// are well, and nobody can write down what ends here. So each worker is sent on
+// once: where others are well it stays with them, and if it comes back, having
+// found none, it is kept. It is sent only if its lease lasts for the tour.
+func (c *Core) sendsOn(m *machine) bool {
+	w := &c.set.Cluster.Workers
+	tour := time.Duration(len(c.set.Siblings)) * (workerPatience + workerPause)
+	if !c.alone() || c.now.Sub(c.stateOK) < aloneAfter || m.sentOn > c.stateOK ||
+		tour+config.Seconds(1.25*w.ReportS)+workerPatience > config.Seconds(w.LeaseS) {
+		return false
+	}
+	m.sentOn = c.now
+	c.count(countSentOn, 1)
+	return true
+}
+
+// aloneLimit is how long a controller that has lost the state service and most
+// of its siblings goes on answering workers. Meanwhile others may tell users
+// that jobs are withdrawn, whose tasks it keeps alive without knowing; it must
+// stop early enough that their leases run out before such tasks must be gone.
+// Others could return the machines, but not while the cloud is away too.
+func (c *Core) aloneLimit() time.Duration {
+	w := &c.set.Cluster.Workers
+	return max(config.Seconds(w.CancelS-w.LeaseS)-aloneMargin, aloneAfter)
+}
+
+const (
+	aloneMargin = 4 * time.Second
+	// aloneAfter is how long the state service and the siblings must be away
+	// before workers are sent on.
+	aloneAfter = 3 * time.Second
+	// workerPatience and workerPause are how long the protocol has a worker wait
+	// for an answer, and between two controllers.
+	workerPatience = 4 * time.Second
+	workerPause    = time.Second
+)
+
+func (c *Core) sendAway(r RequestID) {
+	c.reply(r, http.StatusMisdirectedRequest, wire.Redirect{Foreman: c.fresherPeer()})
+}
+
+func (c *Core) answerWorker(in Reported) {
+	m := c.machineOf(in.Report.Machine)
+	came := m.direct == nil || c.now.Sub(m.heardDirect) > config.Seconds(2*c.set.Cluster.Workers.ReportS)
+	c.hear(in.Report, true)
+	if came && !m.showing && !m.gone && c.mayAsk() {
+		// It may have come because nothing reaches it, or this may be a late copy
+		// of a report that it sent long ago.
+		c.show(m)
+	}
+	var orders []wire.Order
+	// A report that is older than one we know was held up on its way: orders
+	// that follow from it could repeat what is over.
+	if m.newest == in.Report {
+		orders = append(c.ordersFor(m), c.clears(m)...)
+	}
+	c.reply(in.Request, http.StatusOK, wire.ReportAnswer{Baton: c.baton, Orders: orders})
+}
--- a/internal/standin/boots_test.go
+++ b/internal/standin/boots_test.go
@@ -36,13 +36,14 @@
 			}
 			return time.Second / 2 // up before the list has it
 		}
+		w.Settings.Cluster.Objectives[0].Class = "batch" // somebody waits for it
 		w.Start(0)
 		w.Start(1)
 		for n := range 12 {
 			spec, run := job(n, 0)
 			w.At(time.Duration(2+2*n)*time.Second, func() { w.Submit(spec, run) })
 		}
-		w.Run(45 * time.Second)
+		w.Run(65 * time.Second)
 		require.Empty(t, w.Unfinished(), "seed %d", seed)
 		w.Run(60 * time.Second)
 		for _, m := range w.machines {
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -23,12 +23,16 @@
 
 // AdminController is one controller.
 type AdminController struct {
-	Label  string `json:"label"`
-	Boot   Baton  `json:"boot"`
-	Alive  bool   `json:"alive"`
-	Buyer  bool   `json:"buyer"`
-	Self   bool   `json:"self"`
-	State  bool   `json:"state_fresh"`
+	Label string `json:"label"`
+	Boot  Baton  `json:"boot"`
+	Alive bool   `json:"alive"`
+	Buyer bool   `json:"buyer"`
+	Self  bool   `json:"self"`
+	State bool   `json:"state_fresh"`
+	// Heard says that the controller that was asked hears it, and Deaf that it
+	// reaches no workers, by its own word.
+	Heard  bool   `json:"heard"`
+	Deaf   bool   `json:"deaf,omitempty"`
 	Ledger Ledger `json:"ledger,omitempty"`
 	Baton  Baton  `json:"baton,omitempty"`
 }
@@ -60,6 +64,7 @@
 	Tasks    int           `json:"tasks"`
 	Doomed   string        `json:"doomed,omitempty"`
 	Faulty   bool          `json:"faulty,omitempty"`
+	Late     bool          `json:"late,omitempty"` // it should be up by now
 	Reserved bool          `json:"reserved,omitempty"`
 	Recalled bool          `json:"recalled,omitempty"`
 }
