--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -76,7 +76,9 @@
 	cores, work, lacking := 0.0, 0.0, 0.0
 	for _, d := range c.backlog {
 		patience := c.patience(d.job)
-		if d.promised || patience == 0 {
+		if d.promised || patience == 0 || c.waited(d.job) > pastPatience*patience || !plain(d.job) && c.waited(d.job) > patience {
+			// What has waited for too long may be unable to use the machines that
+			// there are: the reckoning below counts them all.
 			out = append(out, capacity.Demand{Request: d.job.req, Count: d.count, Zone: d.zone})
 			continue
 		}
@@ -228,6 +230,7 @@
 	patientPart   = 0.4
 	duePart       = 0.15
 	leastPatience = 15 * time.Second
+	pastPatience  = 2
 	// unaimedRuns times its length, and unaimedLeast seconds, is what work without
 	// any objective or deadline may take; beginSoon is how long it waits for its
 	// first start before machines are rented for it at once.
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -20,6 +20,18 @@
 	overdue  bool   // it has waited so long for its first start that it is put off no more
 }
 
+// hope orders what can still be in time, what no longer can, and what nobody stated
+// a time for: a huge array without any once went ahead of all work that was late.
+func (w *waiting) hope() int {
+	switch {
+	case w.late:
+		return 1
+	case w.due == never:
+		return 2
+	}
+	return 0
+}
+
 // queue is all that waits, most urgent first.
 func (c *Core) queue(rounds map[string]*round, placed map[wire.JobID]TaskSet, zones map[wire.JobID]string, rest bool) []waiting {
 	if rest {
@@ -64,7 +76,7 @@
 			return cmp.Or(-cmp.Compare(btoi(a.overdue), btoi(b.overdue)), cmp.Compare(a.job.at, b.job.at), cmp.Compare(a.job.id, b.job.id))
 		}
 		return cmp.Or(-cmp.Compare(btoi(a.promised), btoi(b.promised)), cmp.Compare(ra, rb),
-			cmp.Compare(btoi(a.late), btoi(b.late)), cmp.Compare(a.due, b.due), cmp.Compare(a.job.at, b.job.at),
+			cmp.Compare(a.hope(), b.hope()), cmp.Compare(a.due, b.due), cmp.Compare(a.job.at, b.job.at),
 			cmp.Compare(a.job.id, b.job.id))
 	}
 	slices.SortFunc(queue, order)
--- /dev/null
+++ b/internal/core/queue_test.go
@@ -0,0 +1,47 @@
+package core
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/config"
+	"lilacrill/internal/placement"
+	"lilacrill/wire"
+)
+
+// TestOrderOfWork guards work that is late against a huge array that nobody stated a
+// time for, and everybody against a job that fails on every machine: it stands in no
+// queue while it pauses, and takes up nobody's guarantee.
+func TestOrderOfWork(t *testing.T) {
+	set := &config.Settings{Label: "rig-0", Cluster: config.Cluster{Zones: []string{"east"},
+		Teams:      []config.Team{{Name: "desk", CPUs: 20}, {Name: "guest"}},
+		Objectives: []config.Objective{{Kind: "finished", Class: "parcel", WithinS: 60}},
+		State:      config.State{ValueKB: 8, TxnOps: 12, RPS: 100, WriteRPS: 50}}}
+	c := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), 1)
+	c.wall = 100_000
+	add := func(id wire.JobID, team, class string, tasks int, at int64) *job {
+		j := &job{id: id, at: at, spec: wire.JobSpec{ID: id, Team: team, Class: class, Shape: wire.ShapeArray,
+			Rank: wire.RankNormal, Tasks: tasks, Cores: 1, RuntimeS: 5}}
+		j.req = placement.NewRequest(&j.spec)
+		j.errors, j.avoid = map[wire.MachineID]Time{}, map[wire.MachineID]Time{}
+		c.jobs[id] = j
+		return j
+	}
+	broken := add("wk-000001", "desk", "parcel", 20, 20_000)
+	add("wk-000002", "guest", "sweep", 30_000, 30_000)
+	add("wk-000003", "guest", "parcel", 100, 39_000) // it cannot be done by 99 s
+	add("wk-000004", "guest", "parcel", 100, 90_000)
+	add("wk-000005", "desk", "sweep", 20, 95_000)
+	for _, id := range []wire.MachineID{"m-000001", "m-000002", "m-000003"} {
+		c.noteError(broken, c.machineOf(id))
+	}
+	var order []wire.JobID
+	for _, w := range c.queue(map[string]*round{}, nil, nil, true) {
+		order = append(order, w.job.id)
+	}
+	require.Equal(t, []wire.JobID{"wk-000005", "wk-000004", "wk-000003", "wk-000002"}, order,
+		"within a guarantee, in time, late, without a time")
+}
