--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -72,6 +72,19 @@
 // makes up the difference.
 func (c *Core) demands() []capacity.Demand {
 	var out []capacity.Demand
+	// Demands for the same go together: each is set against all that is coming.
+	alike := map[like]int{}
+	add := func(d demand, count int) {
+		key := like{search: search{spot: d.job.spec.Spot}, need: d.job.req.Need, single: d.job.req.Single}
+		if k, known := alike[key]; known && plain(d.job) && d.zone == "" {
+			out[k].Count += count
+			return
+		}
+		if plain(d.job) && d.zone == "" {
+			alike[key] = len(out)
+		}
+		out = append(out, capacity.Demand{Request: d.job.req, Count: count, Zone: d.zone})
+	}
 	var patient []demand
 	cores, work, lacking := 0.0, 0.0, 0.0
 	for _, d := range c.backlog {
@@ -79,7 +92,7 @@
 		if d.promised || patience == 0 || c.waited(d.job) > pastPatience*patience || !plain(d.job) && c.waited(d.job) > patience {
 			// What has waited for too long may be unable to use the machines that
 			// there are: the reckoning below counts them all.
-			out = append(out, capacity.Demand{Request: d.job.req, Count: d.count, Zone: d.zone})
+			add(d, d.count)
 			continue
 		}
 		if patient == nil {
@@ -97,7 +110,7 @@
 		}
 		n := min(d.count, int(math.Ceil(lacking/max(d.job.spec.Cores, 0.01))))
 		lacking -= float64(n) * d.job.spec.Cores
-		out = append(out, capacity.Demand{Request: d.job.req, Count: n, Zone: d.zone})
+		add(d, n)
 	}
 	return out
 }
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -109,7 +109,7 @@
 	c.giveBack()
 	c.noteImages()
 	if c.after(c.nextBuy) {
-		c.nextBuy = c.now.Add(buyEvery)
+		c.nextBuy = c.now.Add(max(buyEvery, 3*c.planPause()))
 		c.buy()
 	}
 }
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -28,14 +28,7 @@
 }
 
 // pressing reports whether critical tasks stand on a machine.
-func (c *Core) pressing(m *machine) bool {
-	for _, e := range c.onMachine[m.id] {
-		if e.Rank == wire.RankCritical.Order() {
-			return true
-		}
-	}
-	return false
-}
+func (c *Core) pressing(m *machine) bool { return c.critical[m.id] > 0 }
 
 // asks reports whether it is up to this controller to ask a machine: one of the
 // living does, by the machine's name, and the buyer a little later, since it
--- a/internal/core/index.go
+++ b/internal/core/index.go
@@ -17,6 +17,9 @@
 		c.unsettle(e.Machine)
 		c.onMachine[e.Machine] = append(c.onMachine[e.Machine], e)
 		c.ofJob[e.Job] = append(c.ofJob[e.Job], e)
+		if e.Rank == wire.RankCritical.Order() {
+			c.critical[e.Machine]++
+		}
 	}
 }
 
@@ -27,6 +30,11 @@
 		c.unsettle(e.Machine)
 		dropWhere(c.onMachine, e.Machine, here)
 		dropWhere(c.ofJob, e.Job, here)
+		if e.Rank == wire.RankCritical.Order() {
+			if c.critical[e.Machine]--; c.critical[e.Machine] == 0 {
+				delete(c.critical, e.Machine)
+			}
+		}
 	}
 }
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -28,8 +28,9 @@
 	// that are being written for planning.
 	onMachine map[wire.MachineID][]*Entry
 	ofJob     map[wire.JobID][]*Entry
-	stewards  map[string]string   // team to controller, as far as asked since the living changed
-	within    map[wire.JobID]bool // the jobs within their teams' guarantees
+	critical  map[wire.MachineID]int // entries of critical tasks
+	stewards  map[string]string      // team to controller, as far as asked since the living changed
+	within    map[wire.JobID]bool    // the jobs within their teams' guarantees
 }
 
 // plannerTeam is what the planner keeps of a team.
@@ -47,6 +48,7 @@
 func (p *planner) init() {
 	p.onMachine = map[wire.MachineID][]*Entry{}
 	p.ofJob = map[wire.JobID][]*Entry{}
+	p.critical = map[wire.MachineID]int{}
 	p.stewards = map[string]string{}
 }
 
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -296,6 +296,7 @@
 		c.finals = finals
 		clear(c.onMachine)
 		clear(c.ofJob)
+		clear(c.critical)
 		for _, e := range l.Entries {
 			c.apply(e.Key, e.Value, e.Stamp)
 		}
