--- a/internal/core/queue_test.go
+++ b/internal/core/queue_test.go
@@ -45,3 +45,31 @@
 	require.Equal(t, []wire.JobID{"wk-000005", "wk-000004", "wk-000003", "wk-000002"}, order,
 		"within a guarantee, in time, late, without a time")
 }
+
+// TestTrial guards machines against a wide array that fails everywhere: after a
+// pause only a few of its tasks are tried, none while others still stand; one that
+// goes well opens it again.
+func TestTrial(t *testing.T) {
+	set := &config.Settings{Label: "rig-0", Cluster: config.Cluster{Zones: []string{"east"}, State: config.State{ValueKB: 8, TxnOps: 12}}}
+	c := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), 1)
+	j := &job{id: "wk-000001", spec: wire.JobSpec{Shape: wire.ShapeArray, Tasks: 200}}
+	j.errors, j.avoid = map[wire.MachineID]Time{}, map[wire.MachineID]Time{}
+	c.jobs[j.id] = j
+	require.Equal(t, 200, c.trial(j, 200))
+	for i, id := range []wire.MachineID{"m-000001", "m-000002", "m-000003"} {
+		c.noteError(j, c.machineOf(id))
+		require.Equal(t, i == 2, c.paused(j))
+	}
+	require.Equal(t, trialTasks, c.trial(j, 200))
+	p := &page{key: pageKey("red", "east", 0), team: "red", zone: "east",
+		entries: []Entry{{head: head{Job: j.id, Attempt: 1}, Machine: "m-000004", Tasks: Span(0, 2)}}}
+	c.turn(p)
+	require.Zero(t, c.trial(j, 198))
+	before := j.notBefore
+	c.now = before
+	c.noteError(j, c.machineOf("m-000004"))
+	require.Greater(t, j.notBefore.Sub(before), leastPause, "pauses grow")
+	c.noteWell(j)
+	require.Equal(t, 198, c.trial(j, 198))
+	require.False(t, c.paused(j))
+}
