Workers are answered only by who knows of every withdrawal in time: siblings vouch

A refused controller went on answering workers, and kept alive what it did not know to be withdrawn.

--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -115,13 +115,15 @@
 
 func (c *Core) viewControllers() []wire.AdminController {
 	out := []wire.AdminController{{Label: c.set.Label, Boot: c.boot, Alive: true, Buyer: c.buyer == c.boot, Self: true,
-		State: c.stateFresh(), Heard: true, Deaf: c.deaf(), Ledger: c.feed, Baton: c.baton}}
+		State: c.stateFresh(), Heard: true, Hears: true, Deaf: c.deaf(), Ledger: c.feed, Baton: c.baton,
+		InStepS: c.now.Sub(c.inStep).Seconds(), KnownS: c.now.Sub(c.known()).Seconds(), Renews: c.now.Sub(c.known()) <= c.cancelSlack()}}
 	for _, s := range c.set.Siblings {
 		boot, alive := c.nodes[s.Label]
 		p := c.peers[s.Label]
 		out = append(out, wire.AdminController{Label: s.Label, Boot: boot, Alive: alive, Buyer: alive && c.buyer == boot,
 			State: p != nil && p.fresh && c.now.Sub(p.heard) < 3*beatEvery,
-			Heard: p != nil && c.now.Sub(p.heard) <= peerSilence, Deaf: c.deafNodes[s.Label]})
+			Heard: p != nil && c.now.Sub(p.heard) <= peerSilence, Hears: p != nil && c.now.Sub(p.echoed) <= echoSilence,
+			Deaf: c.deafNodes[s.Label]})
 	}
 	return out
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,6 +35,7 @@
 	planner
 	operator
 	metrics
+	vouching
 	peers map[string]*peerView
 
 	lastStep Time
@@ -61,6 +62,7 @@
 	c.cloudView.init()
 	c.planner.init()
 	c.metrics.init()
+	c.vouching.init(c.rand.Uint64())
 	c.chosen = config.DefaultOperator()
 	return c
 }
@@ -114,18 +116,19 @@
 	return c.ready && (c.stateFresh() || c.fresherPeer() == "" && !c.alone())
 }
 
-// alone reports whether this controller hears less than half of all, itself
-// among them. In an outage of the state service those who are well still hear
+// alone reports whether this controller hears and is heard by less than half of
+// all, itself among them: what it hears one way only may be held back for the other.
+// In an outage of the state service those who are well still hear
 // one another; two that share a zone which is cut off do as well, so one
 // sibling is not enough.
 func (c *Core) alone() bool {
 	heard := 1
 	for _, p := range c.peers {
-		if c.now.Sub(p.heard) <= peerSilence {
+		if c.now.Sub(p.echoed) <= echoSilence {
 			heard++
 		}
 	}
-	return 2*heard <= 1+len(c.set.Siblings) && c.now.Sub(c.readyAt) > peerSilence
+	return 2*heard <= 1+len(c.set.Siblings) && c.now.Sub(c.readyAt) > echoSilence
 }
 
 func (c *Core) do(o Output) { c.out = append(c.out, o) }
@@ -173,6 +176,13 @@
 type peerView struct {
 	heard Time
 	fresh bool
+
+	process uint64      // the one that last vouched
+	number  uint64      // its newest vouch
+	since   Time        // when the first of them came
+	ledger  wire.Ledger // up to which it knows all changes
+	echoed  Time        // when our newest vouch was sent that it has heard
+	vouched Time        // up to when all is known that it may have told users
 }
 
 const (
@@ -207,6 +217,9 @@
 		}
 		c.toldCloud = nil
 	}
+	if c.after(c.nextVouch) {
+		line.Vouch = c.vouch()
+	}
 	for _, id := range sortedKeys(c.toTell) {
 		m := c.machines[id]
 		if m == nil || m.direct == nil {
@@ -225,7 +238,7 @@
 		}
 	}
 	clear(c.toTell)
-	if len(line.Reports) > 0 || len(line.Heard) > 0 || c.after(c.nextBeat) {
+	if len(line.Reports) > 0 || len(line.Heard) > 0 || line.Vouch != nil || c.after(c.nextBeat) {
 		c.nextBeat = c.now.Add(beatEvery)
 		c.do(Tell{line})
 	}
@@ -257,7 +270,7 @@
 	}
 	p := c.peers[l.From]
 	if p == nil {
-		p = &peerView{heard: -Time(peerSilence) - 1}
+		p = &peerView{heard: -Time(peerSilence) - 1, echoed: -Time(echoSilence) - 1}
 		c.peers[l.From] = p
 	}
 	for _, r := range l.Reports {
@@ -273,11 +286,18 @@
 		c.tellAll = true // it may be new, or have missed much
 	}
 	p.heard, p.fresh = c.now, l.StateFresh
+	if l.Vouch != nil {
+		c.vouchedFor(p, l.Vouch)
+	}
 }
 
 // peerSilence is how long a sibling may say nothing before it counts as lost.
 const peerSilence = 3 * beatEvery
 
+// echoSilence is how long ago a sibling may have sent what it last heard of us
+// before it counts as lost: our vouch, and its own with the echo, take a turn each.
+const echoSilence = peerSilence + vouchEvery
+
 func (c *Core) sibling(label string) bool {
 	for _, s := range c.set.Siblings {
 		if s.Label == label {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -74,7 +74,6 @@
 
 	pulling int // images that it is fetching
 
-	overSince  Time         // since when tasks of jobs that are over stand on it
 	sentOn     Time         // when it was told to try another controller
 	told       *wire.Report // what the siblings were last told of it
 	unanswered int          // direct calls without an answer since the last that had one, whatever it reports
@@ -182,6 +181,7 @@
 		return
 	}
 	c.nextLook = c.now.Add(200 * time.Millisecond)
+	c.tickOver()
 	c.sound()
 	uncleared, oldest := 0, false
 	deaf, reporting := 0, 0
--- a/internal/core/index.go
+++ b/internal/core/index.go
@@ -17,6 +17,9 @@
 		c.unsettle(e.Machine)
 		c.onMachine[e.Machine] = append(c.onMachine[e.Machine], e)
 		c.ofJob[e.Job] = append(c.ofJob[e.Job], e)
+		if c.jobs[e.Job] == nil {
+			c.noteOver(e.Machine)
+		}
 		if e.Rank == wire.RankCritical.Order() {
 			c.critical[e.Machine]++
 		}
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -37,6 +37,8 @@
 	countHired      = "machines_rented"
 	countNoCapacity = "hires_without_capacity"
 	countSentOn     = "workers_sent_on"
+	countHeldBack   = "answers_held_back_spells"
+	countUnwritten  = "machines_returned_unwritten"
 	countReturned   = "machines_returned_" // + why
 
 	timeAccept = "acceptance"
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -72,7 +72,9 @@
 				if j == nil || e.Halt != HaltNo || e.Launcher != c.boot || r.Baton < e.Fence {
 					continue
 				}
-				if c.holdsBack(m, e, j) {
+				// A launch while it may have been withdrawn unknown to us would start it
+				// after its user was told.
+				if !c.mayLaunch() || c.holdsBack(m, e, j) {
 					m.holding = true
 					continue
 				}
@@ -119,6 +121,10 @@
 		}
 		seen[key] = true
 		if t.State != wire.TaskExited {
+			if _, over := c.ended(t.Task.Job); over && len(orders) < maxOrders {
+				orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, WindupS: windup(0)})
+				continue
+			}
 			since, ok := m.strays[key]
 			if !ok {
 				m.strays[key] = c.now
@@ -185,14 +191,27 @@
 	if m.pushing || m.newest == nil || m.gone || !c.after(m.pushAt) || !c.ready {
 		return false
 	}
+	baton := c.baton
+	var orders []wire.Order
 	if m.newest.Baton > c.baton {
 		c.barrier(func(bool) {})
-		return false
+		// While the state service is away we cannot learn of that baton. To stop what
+		// is over is right whatever was written before it, so that much may be said
+		// in its name.
+		if c.stateFresh() {
+			return false
+		}
+		if orders = c.stopsOf(m); len(orders) == 0 {
+			return false
+		}
+		baton = m.newest.Baton
 	}
 	if m.settled == m.newest {
 		return false
 	}
-	orders := c.ordersFor(m)
+	if orders == nil {
+		orders = c.ordersFor(m)
+	}
 	fenced := len(orders) == 0 && c.unfenced(m)
 	if len(orders) == 0 && !fenced {
 		if !m.holding {
@@ -219,7 +238,7 @@
 			c.pushNow(m)
 		}
 		c.pushHeld()
-	}), m.addr, wire.DoRequest{Baton: c.baton, Shift: m.newest.Shift, Orders: orders}})
+	}), m.addr, wire.DoRequest{Baton: baton, Shift: m.newest.Shift, Orders: orders}})
 	return true
 }
 
--- a/internal/core/returning.go
+++ b/internal/core/returning.go
@@ -14,8 +14,12 @@
 	silent int  // machines in it that were silent then
 }
 
-// whyIdle is why machines are returned that nothing stands on.
-const whyIdle = "idle"
+// whyIdle is why machines are returned that nothing stands on, whyEnded why those
+// are that hold ended work and cannot be told to stop it.
+const (
+	whyIdle  = "idle"
+	whyEnded = "holds ended work"
+)
 
 // spoil finds machines that should go: dead, silent, never up, or idle.
 func (c *Core) spoil() {
@@ -61,15 +65,15 @@
 		c.inDoubt() && (silent < reporting || !c.siblingsWell())
 	for _, id := range c.inOrder() {
 		m := c.machines[id]
-		if _, going := c.dooms[id]; m.gone || m.left() && len(c.onMachine[id]) == 0 || c.dooming[id] != "" || going {
+		if _, going := c.dooms[id]; m.gone && len(c.onMachine[id]) > 0 && !going && c.dooming[id] == "" && !slices.Contains(c.doom.Gone, id) {
+			// It was returned while that could not be written down. Others have to learn
+			// that what stood on it is gone.
+			c.toDoom(m, whyEnded)
+			continue
+		} else if m.gone || m.left() && len(c.onMachine[id]) == 0 || c.dooming[id] != "" || going {
 			continue
 		}
 		quiet := c.now.Sub(c.lastSign(m))
-		if !slices.ContainsFunc(c.onMachine[id], func(e *Entry) bool { return c.jobs[e.Job] == nil }) {
-			m.overSince = 0
-		} else if m.overSince == 0 {
-			m.overSince = c.now
-		}
 		busy := len(c.onMachine[id]) > 0
 		if busy || m.reserved || m.newest == nil {
 			m.idleSince = 0
@@ -83,10 +87,10 @@
 			if c.neverCame(m) {
 				c.toDoom(m, "never came up")
 			}
-		case m.overSince != 0 && c.now.Sub(m.overSince) > c.overPatience(cutOff) && m.unanswered >= deafCalls:
+		case c.holdsEnded(id, c.overPatience(cutOff)) && m.unanswered >= deafCalls:
 			// Tasks of jobs that are over must be gone in time, and it cannot be
 			// told: whatever the bounds, it goes.
-			c.toDoom(m, "holds ended work")
+			c.toDoom(m, whyEnded)
 		case quiet > c.lenience(m, silence) && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
 			if c.mayGiveUp(m, reporting) {
 				c.toDoom(m, "silent")
@@ -106,6 +110,16 @@
 	}
 }
 
+// holdsEnded reports whether a machine has held ended work for longer than that.
+func (c *Core) holdsEnded(id wire.MachineID, patience time.Duration) bool {
+	since, ok := c.overOn[id]
+	if !ok || c.now.Sub(since) <= patience {
+		return false
+	}
+	held, _, _ := c.endedOn(id)
+	return held
+}
+
 // overPatience is how long a machine may hold ended work that it cannot be told
 // to stop. While it may be us who cannot be heard, others have time to do it.
 func (c *Core) overPatience(cutOff bool) time.Duration {
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -61,6 +61,7 @@
 			c.behind = !ok
 		})
 	}
+	c.keepStep()
 	c.openBarrier()
 	if c.enrolled && (c.nodes[c.set.Label] != c.boot || c.deafNodes[c.set.Label] != c.deaf()) {
 		// A late copy of an earlier enrolment may hang the record on a lease that
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -190,7 +190,13 @@
 			return errNotFinal
 		}
 		delete(c.jobs, id)
+		if _, known := c.over[id]; !known && r.Over.Status == wire.StatusWithdrawn {
+			c.noteWithdrawn(wire.Withdrawal{Job: id, Stamp: stamp, Done: r.Over.Done})
+		}
 		c.over[id] = *r.Over
+		for _, e := range c.ofJob[id] {
+			c.noteOver(e.Machine)
+		}
 		return nil
 	}
 	j := c.jobs[id]
@@ -294,6 +300,8 @@
 		finals := c.finals
 		c.store.init()
 		c.finals = finals
+		c.withdrawn, c.withdrawnFrom = nil, 0
+		clear(c.overOn)
 		clear(c.onMachine)
 		clear(c.ofJob)
 		clear(c.critical)
@@ -301,6 +309,7 @@
 			c.apply(e.Key, e.Value, e.Stamp)
 		}
 		c.feed = l.First
+		c.forgetWithdrawn(l.First)
 		c.catchUp = l.Last
 		c.loading, c.loaded = false, true
 		c.watch()
@@ -371,6 +380,9 @@
 		}
 	}
 	c.feed = max(c.feed, f.Feed.Ledger)
+	if c.loaded {
+		c.readTo(c.asked)
+	}
 	for key, stamp := range c.dropped {
 		if stamp <= c.feed {
 			delete(c.dropped, key)
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -23,14 +23,25 @@
 				c.sendAway(in.Request)
 				return
 			}
-			c.answerWorker(in)
+			c.helloKnown(in)
 		})
 		return
 	}
-	if !c.stateFresh() && c.alone() && c.now.Sub(c.stateOK) > c.aloneLimit() {
-		// What stands on this worker may have been withdrawn since.
+	c.helloKnown(in)
+}
+
+// helloKnown answers a worker that has seen no baton which is not known here.
+func (c *Core) helloKnown(in Reported) {
+	r := in.Report
+	if !c.mayRenew() || c.mayStillStart(c.machineOf(r.Machine)) {
+		// What stands on this worker, or may yet start there, may have been withdrawn
+		// so long ago that another lease would keep it alive for too long.
 		c.hear(r, true)
-		c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "cut off"}})
+		if c.fresherPeer() != "" {
+			c.sendAway(in.Request)
+			return
+		}
+		c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "withdrawals may not be known"}})
 		return
 	}
 	if !c.stateFresh() && (c.fresherPeer() != "" || c.sendsOn(c.machineOf(r.Machine))) {
@@ -59,18 +70,7 @@
 	return true
 }
 
-// aloneLimit is how long a controller that has lost the state service and most
-// of its siblings goes on answering workers. Meanwhile others may tell users
-// that jobs are withdrawn, whose tasks it keeps alive without knowing; it must
-// stop early enough that their leases run out before such tasks must be gone.
-// Others could return the machines, but not while the cloud is away too.
-func (c *Core) aloneLimit() time.Duration {
-	w := &c.set.Cluster.Workers
-	return max(config.Seconds(w.CancelS-w.LeaseS)-aloneMargin, aloneAfter)
-}
-
 const (
-	aloneMargin = 4 * time.Second
 	// aloneAfter is how long the state service and the siblings must be away
 	// before workers are sent on.
 	aloneAfter = 3 * time.Second
@@ -98,6 +98,8 @@
 	// that follow from it could repeat what is over.
 	if m.newest == in.Report {
 		orders = append(c.ordersFor(m), c.clears(m)...)
+	} else {
+		orders = c.stopsOf(m) // the answer may renew the lease all the same
 	}
 	c.reply(in.Request, http.StatusOK, wire.ReportAnswer{Baton: c.baton, Orders: orders})
 }
--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -11,41 +11,41 @@
 	"lilacrill/wire"
 )
 
-// TestMuteMachine guards against a machine whose reports arrive while nothing
+// TestDeafMachine guards against a machine whose reports arrive while nothing
 // reaches it: it looks well, and its lease runs out unseen. What stood on it
 // must run elsewhere, no new work may go there, and it must not be kept.
-func TestMuteMachine(t *testing.T) {
+func TestDeafMachine(t *testing.T) {
 	for seed := range uint64(6) {
 		w := newWorld(t, seed, 3)
 		spec, _ := job(1, 1)
 		spec.Tasks = 4
 		w.At(2*time.Second, func() { w.Submit(spec, 0) })
 		w.Run(20 * time.Second)
-		var mute *machine
+		var deaf *machine
 		for _, m := range w.machines {
 			if len(m.tasks) > 0 {
-				mute = m
+				deaf = m
 				break
 			}
 		}
-		require.NotNil(t, mute)
-		mute.mute = true
+		require.NotNil(t, deaf)
+		deaf.deaf = true
 		for n := range 20 {
 			next, run := job(2+2*n, 0)
 			w.At(time.Duration(8+n)*time.Second, func() { w.Submit(next, run) })
 		}
-		before := mute.launched
+		before := deaf.launched
 		w.Run(8 * time.Second)
-		require.LessOrEqual(t, mute.launched-before, 0, "new work on a machine that hears nothing")
+		require.LessOrEqual(t, deaf.launched-before, 0, "new work on a machine that hears nothing")
 		w.Run(22 * time.Second)
 		running := 0
 		w.onMachines(func(m *machine, tk *task) {
-			if m != mute && tk.id.Job == spec.ID {
+			if m != deaf && tk.id.Job == spec.ID {
 				running++
 			}
 		})
 		require.Equal(t, 4, running, "replicas on machines that hear")
-		require.True(t, mute.dead, "the machine was kept")
+		require.True(t, deaf.dead, "the machine was kept")
 		w.Run(60 * time.Second)
 		require.Empty(t, w.Broken)
 		require.Empty(t, w.Unfinished())
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -38,7 +38,8 @@
 	dead   bool // gone, or died
 	deadAt core.Time
 	hung   bool
-	mute   bool     // its reports arrive, but nothing reaches it
+	deaf   bool     // its reports arrive, but nothing reaches it
+	mute   bool     // it reaches no controller, but direct commands reach it
 	queue  []func() // what arrived while it hung
 
 	shift    wire.Shift
@@ -133,6 +134,16 @@
 	}
 	m.sending = true
 	m.sent++
+	if m.mute {
+		mark := m.sent
+		w.after(500*time.Millisecond, func() {
+			if m.sent == mark && m.sending {
+				m.sending = false
+				m.act(m.nextNode)
+			}
+		})
+		return
+	}
 	n, sentAt, shift, mark := w.nodes[m.node], w.now, m.shift, m.sent
 	open := true
 	finish := func(f func()) {
@@ -149,7 +160,7 @@
 	r := m.report()
 	w.toNode(n, func(id core.RequestID) core.Input { return core.Reported{Request: id, Report: r} },
 		func(rep core.Reply) {
-			if m.mute {
+			if m.deaf {
 				return
 			}
 			finish(func() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -32,8 +32,10 @@
 	// state service refuses, CutWorkers such that workers do not reach.
 	StateDown, CloudDown bool
 	CutState, CutWorkers map[int]bool
-	// CutPeers names controllers that hear and reach no sibling.
+	// CutPeers names controllers that hear and reach no sibling; PeerLoss is the part
+	// of the lines between controllers that is lost.
 	CutPeers map[int]bool
+	PeerLoss float64
 	// CutZone is a zone that is cut off from everything but the controller in it.
 	CutZone string
 	InZone  int
@@ -421,7 +423,7 @@
 		w.direct(n, o.Call, o.Addr, 800*time.Millisecond, func(m *machine) core.Answered { return core.Answered{Report: m.report()} })
 	case core.Tell:
 		for _, s := range w.nodes {
-			if s != n && s.core != nil && !w.CutPeers[n.index] && !w.CutPeers[s.index] && w.rng.Float64() >= w.Loss {
+			if s != n && s.core != nil && !w.CutPeers[n.index] && !w.CutPeers[s.index] && w.rng.Float64() >= max(w.Loss, w.PeerLoss) {
 				line := *o.Line
 				to, togen := s, s.gen
 				w.after(w.latency(), func() {
@@ -644,7 +646,7 @@
 	if m != nil && w.apart(m.zone, n) {
 		return
 	}
-	if m == nil || m.dead || m.mute || w.NoDirect || w.CutWorkers[n.index] {
+	if m == nil || m.dead || m.deaf || w.NoDirect || w.CutWorkers[n.index] {
 		return
 	}
 	deliver := func() { m.act(func() { finish(w.latency(), exec(m)) }) }
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -92,8 +92,8 @@
 }
 
 var troubleKinds = []string{"crash", "crash all", "flicker", "state down", "state cut", "worker cut", "cloud down",
-	"hang", "die", "notice", "slow state", "faulty", "mute", "alone", "flicker all", "zone cut", "freeze",
-	"boots", "polls"}
+	"hang", "die", "notice", "slow state", "faulty", "deaf", "alone", "flicker all", "zone cut", "freeze",
+	"boots", "polls", "mute"}
 
 func (tr trouble) happen(w *World) {
 	n := tr.who % len(w.nodes)
@@ -138,6 +138,11 @@
 		w.PollStorm(2 * tr.last)
 	case "zone cut":
 		w.CutOff(zones[tr.who%len(zones)], n, 2*tr.last)
+	case "deaf":
+		if m := machine(); m != nil {
+			m.deaf = true
+			w.At(2*tr.last, func() { m.deaf = false })
+		}
 	case "mute":
 		if m := machine(); m != nil {
 			m.mute = true
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -29,12 +29,19 @@
 	Buyer bool   `json:"buyer"`
 	Self  bool   `json:"self"`
 	State bool   `json:"state_fresh"`
-	// Heard says that the controller that was asked hears it, and Deaf that it
-	// reaches no workers, by its own word.
+	// Heard says that the controller that was asked hears it, Hears that it hears
+	// that one, and Deaf that it reaches no workers, by its own word.
 	Heard  bool   `json:"heard"`
+	Hears  bool   `json:"hears"`
 	Deaf   bool   `json:"deaf,omitempty"`
 	Ledger Ledger `json:"ledger,omitempty"`
 	Baton  Baton  `json:"baton,omitempty"`
+	// Of the controller that was asked: for how long it has not been in step with
+	// the state service, the age of what it knows of withdrawals, by the service or
+	// by its siblings' word, and whether it answers workers on that ground.
+	InStepS float64 `json:"in_step_s,omitempty"`
+	KnownS  float64 `json:"withdrawals_known_s,omitempty"`
+	Renews  bool    `json:"answers_workers,omitempty"`
 }
 
 // AdminTeam is a team's usage against its guarantee and its limit.
--- a/wire/services.go
+++ b/wire/services.go
@@ -129,6 +129,8 @@
 	From string `json:"from"`
 	// StateFresh says that the sender has heard from the state service lately.
 	StateFresh bool `json:"state_fresh,omitempty"`
+	// Vouch is the sender's word on withdrawn jobs, on some lines.
+	Vouch *Vouch `json:"vouch,omitempty"`
 	// Reports are workers' reports as the sender got them, of machines of which
 	// more has changed than the time.
 	Reports []*Report `json:"reports,omitempty"`
@@ -138,6 +140,36 @@
 	Cloud []ListedMachine `json:"cloud,omitempty"`
 }
 
+// Vouch is a controller's word for every withdrawal that it may have told a user
+// of until it sent the line: those that are not in the state service's feed up to
+// From are listed.
+type Vouch struct {
+	// Process tells the sender's process from earlier ones of its label, and Number
+	// counts that process's vouches.
+	Process uint64 `json:"p"`
+	Number  uint64 `json:"n"`
+	// Ledger is the revision up to which the sender knows all changes.
+	Ledger Ledger `json:"l"`
+	From   Ledger `json:"f"`
+	// Heard is the newest vouch of each sibling that the sender has had, which
+	// bounds the age of this one by the sibling's own clock.
+	Heard     map[string]Echo `json:"h,omitempty"`
+	Withdrawn []Withdrawal    `json:"w,omitempty"`
+}
+
+// Echo names a vouch that was received.
+type Echo struct {
+	Process uint64 `json:"p"`
+	Number  uint64 `json:"n"`
+}
+
+// Withdrawal is a job that was withdrawn at a revision, with so many tasks done.
+type Withdrawal struct {
+	Job   JobID  `json:"j"`
+	Stamp Ledger `json:"s"`
+	Done  int    `json:"d,omitempty"`
+}
+
 // Heard says that a machine reported, with nothing new but this.
 type Heard struct {
 	Machine MachineID `json:"m"`
