--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -294,6 +294,9 @@
 		return
 	}
 	d := j.runtime
+	if j.uneven != nil {
+		d = j.uneven(t.id.Index)
+	}
 	if j.complete[t.id.Index] {
 		d = 0
 	}
@@ -340,6 +343,7 @@
 	j := m.w.jobs[t.id.Job]
 	if why == wire.CauseDone {
 		j.complete[t.id.Index] = true
+		m.w.ended(j)
 	} else if j.spec.Shape == wire.ShapeGang && wasRunning {
 		m.w.gangLost(j, t.attempt)
 	}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -56,8 +56,11 @@
 	if s.Zone != "" && s.Zone != m.zone || m.spot && !s.Spot || len(s.Types) > 0 && !slices.Contains(s.Types, m.kind.Name) {
 		w.breaks("wrong_place: %v on %s (%s, %s, spot %v)", t.id, m.id, m.kind.Name, m.zone, m.spot)
 	}
-	if j.told == wire.StatusWithdrawn && w.now.Sub(j.toldAt) > w.Cancel {
-		w.breaks("ran_cancelled: start of %v", t.id)
+	if j.told == wire.StatusWithdrawn {
+		w.Seen["start after a withdrawal was told"]++
+		if w.now.Sub(j.toldAt) > w.Cancel {
+			w.breaks("ran_cancelled: start of %v", t.id)
+		}
 	}
 }
 
@@ -97,6 +100,61 @@
 	}
 }
 
+// neglect is how long a job may wait beside room that it could have, once all
+// troubles are over.
+const neglect = 90 * time.Second
+
+// checkWaiting looks for jobs that wait beside a machine that fits them and has room,
+// while their team is under its limit. Jobs whose tasks have to be placed together or
+// apart are left out: whether they fit is not told by one machine.
+func (w *World) checkWaiting() {
+	if w.CalmAt == 0 {
+		return
+	}
+	used, free := map[string][2]float64{}, map[*machine][3]float64{}
+	for _, m := range w.machines {
+		if !m.up || m.dead || m.hung || m.faulty || m.recall != 0 {
+			continue
+		}
+		f := [3]float64{m.kind.Cores, m.kind.Accelerators, m.kind.MemGB}
+		for _, t := range m.sorted() {
+			s := &w.jobs[t.id.Job].spec
+			if t.state != wire.TaskExited {
+				f = [3]float64{f[0] - s.Cores, f[1] - s.Accelerators, f[2] - s.MemGB}
+				u := used[s.Team]
+				used[s.Team] = [2]float64{u[0] + s.Cores, u[1] + s.Accelerators}
+			}
+		}
+		free[m] = f
+	}
+	for id, j := range w.jobs {
+		s := &j.spec
+		waits := j.accepted && !j.told.Final() && !j.cancelAsk && !j.mistaken && len(j.complete) < s.Tasks && len(j.on()) == 0 &&
+			(s.Tasks == 1 || s.Shape == wire.ShapeArray && !s.Together && !s.Apart)
+		beside := false
+		if waits {
+			for _, t := range w.Settings.Cluster.Teams {
+				cpus, gpus := t.Limits()
+				if u := used[t.Name]; t.Name == s.Team && u[0]+s.Cores <= cpus+1e-6 && u[1]+s.Accelerators <= gpus+1e-6 {
+					for m, f := range free {
+						beside = beside || f[0] >= s.Cores && f[1] >= s.Accelerators && f[2] >= s.MemGB && (s.Zone == "" || s.Zone == m.zone) &&
+							(!m.spot || s.Spot) && (len(s.Types) == 0 || slices.Contains(s.Types, m.kind.Name))
+					}
+				}
+			}
+		}
+		switch {
+		case !beside:
+			j.neglected = 0
+		case j.neglected == 0:
+			j.neglected = w.now
+		case w.now.Sub(j.neglected) > neglect:
+			w.breaks("neglected: %s waits beside room", id)
+			j.neglected = 0
+		}
+	}
+}
+
 // gang finds a gang's tasks of one attempt that are on machines.
 func (w *World) gang(j *userJob, a wire.Attempt) (ms []*machine, ts []*task) {
 	for _, p := range j.on() {
@@ -131,6 +189,7 @@
 	for i := range j.spec.Tasks {
 		j.complete[i] = true
 	}
+	w.ended(j)
 	for i, t := range ts {
 		t.on = false
 		t.state, t.cause = wire.TaskExited, wire.CauseDone
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -22,6 +22,8 @@
 	log    []wire.LogEntry
 	leases map[wire.Permit]*lease
 	permit wire.Permit
+	// forgotten is the revision up to which the log was dropped.
+	forgotten wire.Ledger
 	// OnChange, if set, is called after every change.
 	OnChange func()
 }
@@ -77,6 +79,13 @@
 	return f
 }
 
+// Forget drops the changes so far from the feed: who has not read them has to read
+// the keys again.
+func (s *Store) Forget() { s.log, s.forgotten = nil, s.ledger }
+
+// TooOld reports whether the feed no longer goes back to a revision.
+func (s *Store) TooOld(after wire.Ledger) bool { return after < s.forgotten }
+
 // Multi runs a transaction.
 func (s *Store) Multi(t wire.Transaction) core.Committed {
 	var failed []string
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -42,14 +42,66 @@
 	try()
 }
 
+// SubmitUneven is Submit for a job whose tasks run for different times.
+func (w *World) SubmitUneven(spec wire.JobSpec, runtime func(index int) time.Duration) {
+	w.jobs[spec.ID] = &userJob{spec: spec, uneven: runtime, complete: map[int]bool{}, asked: w.now}
+	w.Submit(spec, 0)
+}
+
 // SubmitMistaken is Submit for a job whose tasks fail on every machine.
 func (w *World) SubmitMistaken(spec wire.JobSpec) {
 	w.jobs[spec.ID] = &userJob{spec: spec, mistaken: true, complete: map[int]bool{}, asked: w.now}
 	w.Submit(spec, 0)
 }
 
+// ended has the user of a job whose last task has just ended call it off, perhaps.
+func (w *World) ended(j *userJob) {
+	if len(j.complete) < j.spec.Tasks || j.told.Final() || w.rng.Float64() >= w.CancelAtEnd {
+		return
+	}
+	w.Seen["cancelled at its end"]++
+	w.CancelJob(j.spec.ID)
+	w.lookClosely(j)
+}
+
+// lookClosely has users ask about a job at all controllers within milliseconds,
+// repeat its submission, and call some off at once.
+func (w *World) lookClosely(j *userJob) {
+	if !w.CloseLooks {
+		return
+	}
+	for i, d := range []time.Duration{1, 2, 4, 7, 12, 30, 80, 200} {
+		w.after(d*time.Millisecond, func() {
+			for _, n := range w.nodes {
+				w.Seen["close look"]++
+				asked := w.now
+				if (i+n.index)%3 == 0 {
+					w.askAt(n, func(id core.RequestID) core.Input { return core.Submitted{Request: id, Spec: j.spec} },
+						func(r core.Reply, ok bool) {
+							if s, good := r.Body.(wire.JobStatus); ok && good {
+								w.tell(j, asked, s.Status)
+							} else if ok && (r.Status == 400 || r.Status == 404 || r.Status == 422) {
+								w.breaks("forgotten: repeat of %s got %d", j.spec.ID, r.Status)
+							}
+						})
+				} else {
+					w.pollAt(n, j)
+				}
+			}
+		})
+	}
+	if w.rng.IntN(4) == 0 && j.spec.Shape != wire.ShapeService {
+		w.after(3*time.Millisecond, func() { w.CancelJob(j.spec.ID) })
+	}
+}
+
 // ask sends a request to some controller and gives up after 5 s.
 func (w *World) ask(makeInput func(core.RequestID) core.Input, then func(core.Reply, bool)) {
+	w.askAt(w.anyNode(), makeInput, then)
+}
+
+// askAt is ask at a certain controller.
+func (w *World) askAt(n *node, makeInput func(core.RequestID) core.Input, then func(core.Reply, bool)) {
 	open := true
 	w.after(5*time.Second, func() {
 		if open {
@@ -57,7 +109,7 @@
 			then(core.Reply{}, false)
 		}
 	})
-	w.toNode(w.anyNode(), makeInput, func(r core.Reply) {
+	w.toNode(n, makeInput, func(r core.Reply) {
 		if open {
 			open = false
 			then(r, true)
@@ -82,6 +134,12 @@
 	}
 	if s.Final() && !j.told.Final() {
 		j.toldAt = w.now
+		if s == wire.StatusWithdrawn {
+			w.Seen["withdrawn"]++
+		}
+		w.lookClosely(j)
+	} else if j.told == "" {
+		w.lookClosely(j)
 	}
 	if !j.told.Final() {
 		j.told = s
@@ -93,9 +151,11 @@
 	w.after(3*time.Second, func() { w.poll(j) })
 }
 
-func (w *World) pollOnce(j *userJob) {
+func (w *World) pollOnce(j *userJob) { w.pollAt(w.anyNode(), j) }
+
+func (w *World) pollAt(n *node, j *userJob) {
 	asked := w.now
-	w.ask(func(id core.RequestID) core.Input { return core.Polled{Request: id, Job: j.spec.ID} },
+	w.askAt(n, func(id core.RequestID) core.Input { return core.Polled{Request: id, Job: j.spec.ID} },
 		func(r core.Reply, ok bool) {
 			switch {
 			case ok && r.Status == 200:
@@ -128,6 +188,15 @@
 			w.after(time.Second, try)
 			return
 		}
+		if w.HangAtCancel > 0 && !j.cancelAsk {
+			for _, p := range j.on()[:min(1, len(j.on()))] {
+				if !p.m.hung {
+					w.Seen["machine hung at a cancellation"]++
+					p.m.hung = true
+					w.after(w.HangAtCancel, p.m.resume)
+				}
+			}
+		}
 		j.cancelAsk = true
 		asked := w.now
 		w.ask(func(r core.RequestID) core.Input { return core.CancelAsked{Request: r, Job: id} },
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -39,6 +39,23 @@
 	// CutZone is a zone that is cut off from everything but the controller in it.
 	CutZone string
 	InZone  int
+	// LateWrites is the part of the transactions that get no answer and are carried
+	// out 2 to 12 s later, after newer ones; with LateAtOnce only the answer is lost.
+	LateWrites float64
+	LateAtOnce bool
+	// KeepReports keeps copies of this part of the reports for the next controller
+	// that begins: all controllers get them then.
+	KeepReports float64
+	// CancelAtEnd is the part of the jobs that are called off at the moment at which
+	// their last task ends; HangAtCancel of the machines of a job that is called off
+	// hang for that long.
+	CancelAtEnd  float64
+	HangAtCancel time.Duration
+	// CloseLooks has users ask at all controllers within milliseconds, again and again,
+	// and repeat the submission, after a job was accepted, ended or withdrawn.
+	CloseLooks bool
+	// Seen counts what took place, by name, for a test to show that it did.
+	Seen map[string]int
 	// LateReports is the part of the reports of which a copy comes late, from
 	// seconds to well over a lease.
 	LateReports float64
@@ -73,6 +90,7 @@
 	types    []wire.MachineType
 	jobs     map[wire.JobID]*userJob
 	lists    []snapshot
+	kept     []keptReport
 	log      *slog.Logger
 }
 
@@ -81,6 +99,12 @@
 	list []wire.ListedMachine
 }
 
+// keptReport is a copy of a report that was held up on its way.
+type keptReport struct {
+	report *wire.Report
+	at     core.Time
+}
+
 type watcher struct {
 	f    core.Follow
 	n    *node
@@ -105,6 +129,7 @@
 type userJob struct {
 	spec      wire.JobSpec
 	runtime   time.Duration
+	uneven    func(index int) time.Duration // if set, in place of runtime
 	accepted  bool
 	submitted bool
 	cancelAsk bool
@@ -114,9 +139,10 @@
 	answered  core.Time // when a question about it was last answered
 	began     core.Time // when a task of it first ran
 	complete  map[int]bool
-	mistaken  bool     // its tasks fail on every machine
-	launched  int      // launches of its tasks that workers obeyed
-	placed    []placed // its tasks on machines; those that no longer are go when it is next read
+	neglected core.Time // since when it waits beside room
+	mistaken  bool      // its tasks fail on every machine
+	launched  int       // launches of its tasks that workers obeyed
+	placed    []placed  // its tasks on machines; those that no longer are go when it is next read
 }
 
 type placed struct {
@@ -158,7 +184,7 @@
 		GangWait: config.Seconds(set.Cluster.Workers.GangWaitS), GangPeer: config.Seconds(set.Cluster.Workers.GangPeerS),
 		Cancel:   config.Seconds(set.Cluster.Workers.CancelS),
 		Capacity: 3,
-		CutState: map[int]bool{}, CutWorkers: map[int]bool{}, CutPeers: map[int]bool{},
+		Seen:     map[string]int{}, CutState: map[int]bool{}, CutWorkers: map[int]bool{}, CutPeers: map[int]bool{},
 		rng: rand.New(rand.NewPCG(seed, 7)), store: NewStore(),
 		byID: map[wire.MachineID]*machine{}, hires: map[string][]wire.MachineID{}, types: types,
 		jobs: map[wire.JobID]*userJob{}, log: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -174,6 +200,7 @@
 		w.check()
 	})
 	w.every(time.Second, func() {
+		w.checkWaiting()
 		w.lists = append(w.lists, snapshot{w.now, w.list()})
 		if len(w.lists) > 15 {
 			w.lists = w.lists[1:]
@@ -255,6 +282,7 @@
 		}
 	}
 	tick()
+	w.deliverKept(n)
 }
 
 // Stop ends a controller.
@@ -358,9 +386,7 @@
 		w.load(n, o)
 	case core.Follow:
 		if o.Block == 0 {
-			w.state(n, o.Call, core.Fed{Outcome: core.NotDone}, core.Fed{Outcome: core.Unknown}, func() any {
-				return core.Fed{Feed: w.store.Feed(o.Under, o.After)}
-			})
+			w.state(n, o.Call, core.Fed{Outcome: core.NotDone}, core.Fed{Outcome: core.Unknown}, func() any { return w.fed(o) })
 			return
 		}
 		wt := &watcher{f: o, n: n, gen: gen}
@@ -377,14 +403,28 @@
 		})
 	case core.Commit:
 		w.checkLimits(o.Txn)
-		w.state(n, o.Call, core.Committed{Outcome: core.NotDone}, core.Committed{Outcome: core.Unknown}, func() any {
+		exec := func() core.Committed {
 			before := w.placements(o.Txn)
 			r := w.store.Multi(o.Txn)
 			if r.Outcome == core.Done {
 				w.checkPlacements(o.Txn, before)
 			}
 			return r
-		})
+		}
+		if w.rng.Float64() < w.LateWrites && !w.StateDown && !w.CutState[n.index] {
+			w.returned(n, gen, giveUp, o.Call, core.Committed{Outcome: core.Unknown})
+			d := w.latency()
+			if !w.LateAtOnce {
+				d = 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
+			}
+			w.after(d, func() {
+				if exec().Outcome == core.Done {
+					w.Seen["unanswered write"]++
+				}
+			})
+			return
+		}
+		w.state(n, o.Call, core.Committed{Outcome: core.NotDone}, core.Committed{Outcome: core.Unknown}, func() any { return exec() })
 	case core.Grant:
 		w.state(n, o.Call, core.Granted{Outcome: core.NotDone}, core.Granted{Outcome: core.Unknown}, func() any {
 			return core.Granted{Permit: w.store.Grant(w.now, core.Time(o.TTL))}
@@ -529,6 +569,14 @@
 	w.after(w.latency(), func() { next(0) })
 }
 
+// fed is the feed's answer.
+func (w *World) fed(f core.Follow) core.Fed {
+	if w.store.TooOld(f.After) {
+		return core.Fed{Outcome: core.TooOld}
+	}
+	return core.Fed{Feed: w.store.Feed(f.Under, f.After)}
+}
+
 // feed serves the open watches after a change.
 func (w *World) feed() {
 	for _, wt := range w.watchers {
@@ -543,12 +591,12 @@
 	if wt.n.gen != wt.gen {
 		wt.done = true
 	} else if !w.StateDown && !w.CutState[wt.n.index] {
-		f := w.store.Feed(wt.f.Under, wt.f.After)
-		if len(f.Log) == 0 && !timeout {
+		f := w.fed(wt.f)
+		if f.Outcome == core.Done && len(f.Feed.Log) == 0 && !timeout {
 			return
 		}
 		wt.done = true
-		w.returned(wt.n, wt.gen, w.latency(), wt.f.Call, core.Fed{Feed: f})
+		w.returned(wt.n, wt.gen, w.latency(), wt.f.Call, f)
 	} else if timeout {
 		wt.done = true
 		w.returned(wt.n, wt.gen, w.latency(), wt.f.Call, core.Fed{Outcome: core.Unknown})
@@ -678,6 +726,9 @@
 
 // toNode sends a request to a controller.
 func (w *World) toNode(n *node, makeInput func(core.RequestID) core.Input, then func(core.Reply)) {
+	if r, fromWorker := makeInput(0).(core.Reported); fromWorker && w.rng.Float64() < w.KeepReports {
+		w.kept = append(w.kept, keptReport{r.Report, w.now})
+	}
 	if _, fromWorker := makeInput(0).(core.Reported); fromWorker && w.rng.Float64() < w.LateReports {
 		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(3*w.Lease))), func() {
 			if n.core != nil && !w.CutWorkers[n.index] {
@@ -709,3 +760,30 @@
 		w.step(n, makeInput(n.request))
 	})
 }
+
+// deliverKept hands the kept reports to all controllers, again and again while a
+// controller that has just been started reads its state and begins to act.
+func (w *World) deliverKept(began *node) {
+	kept := w.kept
+	w.kept = nil
+	gen := began.gen
+	for i := range 8 {
+		w.after(time.Duration(i)*250*time.Millisecond, func() {
+			for _, n := range w.nodes {
+				for _, k := range kept {
+					if n.core == nil || began.gen != gen {
+						continue
+					}
+					if n == began && n.core.Healthy() {
+						w.Seen["kept report at a new controller"]++
+						if m := w.byID[k.report.Machine]; m != nil && k.report.Shift < m.shift {
+							w.Seen["report of an earlier session"]++
+						}
+					}
+					n.request++
+					w.step(n, core.Reported{Request: n.request, Report: k.report})
+				}
+			}
+		})
+	}
+}
