Less planning work: proofs by what changed, passes paced by share and lag, fewer watches

Also: a machine is unreachable only while its reports come (one of a cut zone was returned for a report that came just after the first call that the cut swallowed).

--- a/cmd/lilacrill/engine.go
+++ b/cmd/lilacrill/engine.go
@@ -57,7 +57,6 @@
 }
 
 const (
-	tickEvery    = 50 * time.Millisecond
 	inboxSize    = 512
 	resultsSize  = 4096
 	hintsSize    = 64 // each may name very many machines
@@ -145,7 +144,7 @@
 }
 
 func (e *engine) loop(ctx context.Context) {
-	tick := time.NewTicker(tickEvery)
+	tick := time.NewTicker(core.TickEvery)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -163,16 +163,15 @@
 
 func (c *Core) viewMachines() []wire.AdminMachine {
 	out := []wire.AdminMachine{}
-	for _, id := range c.inOrder() {
-		m := c.machines[id]
+	for _, m := range c.inOrder() {
 		if m.gone {
 			continue
 		}
-		v := wire.AdminMachine{ID: id, Type: m.kind, Zone: m.zone, Spot: m.spot, Status: m.status,
+		v := wire.AdminMachine{ID: m.id, Type: m.kind, Zone: m.zone, Spot: m.spot, Status: m.status,
 			SilentS: c.now.Sub(c.lastSign(m)).Seconds(), Faulty: !c.after(m.badUntil), Reserved: m.reserved,
 			Late: m.unborn() && m.status == wire.MachineBooting && !c.coming(m), Recalled: m.recallAt != 0}
-		v.Doomed = c.dooms[id].why
-		for _, e := range c.onMachine[id] {
+		v.Doomed = c.dooms[m.id].why
+		for _, e := range m.entries {
 			v.Tasks += e.Tasks.Len()
 		}
 		out = append(out, v)
--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -41,8 +41,8 @@
 		return
 	}
 	var coming placement.Fleet
-	for _, id := range c.inOrder() {
-		if m := c.machines[id]; c.coming(m) {
+	for _, m := range c.inOrder() {
+		if c.coming(m) {
 			o := capacity.Offer{Type: *c.kind(m.kind), Zone: m.zone, Spot: m.spot}
 			coming = append(coming, o.Host(m.id, maxPerHost))
 		}
@@ -142,14 +142,13 @@
 		return
 	}
 	byPrice := map[float64]float64{}
-	for _, id := range c.inOrder() {
-		m := c.machines[id]
+	for _, m := range c.inOrder() {
 		t := c.kind(m.kind)
 		if t == nil || !c.usable(m) {
 			continue
 		}
 		cores := t.Cores
-		for _, e := range c.onMachine[id] {
+		for _, e := range m.entries {
 			if e.Shape == wire.ShapeService {
 				cores -= e.Cores * float64(e.Tasks.Len())
 			}
@@ -184,14 +183,13 @@
 // underWay is the cores that work which ends has at its disposal, and how many
 // core-seconds of it they are still at.
 func (c *Core) underWay() (cores, work float64) {
-	for _, id := range c.inOrder() {
-		m := c.machines[id]
+	for _, m := range c.inOrder() {
 		t := c.kind(m.kind)
 		if t == nil || !c.usable(m) {
 			continue // what is coming is set against what is rented
 		}
 		cores += t.Cores
-		for _, e := range c.onMachine[id] {
+		for _, e := range m.entries {
 			n := e.Cores * float64(e.Tasks.Len())
 			if e.Shape == wire.ShapeService {
 				cores -= n
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -53,6 +53,7 @@
 	listEvery      = 2 * time.Second
 	buyEvery       = 300 * time.Millisecond
 	spoilEvery     = 200 * time.Millisecond
+	spoilMost      = 500 * time.Millisecond
 	doomEvery      = 300 * time.Millisecond
 	claimPatience  = 3 * time.Second
 	refusalPause   = 5 * time.Second // doubled with every refusal in a row
@@ -102,7 +103,7 @@
 		c.list()
 	}
 	if c.after(c.nextSpoil) {
-		c.nextSpoil = c.now.Add(spoilEvery)
+		c.nextSpoil = c.now.Add(c.paced(spoilEvery, spoilMost))
 		c.spoil()
 	}
 	c.writeDoom()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -162,6 +162,7 @@
 func (c *Core) after(t Time) bool { return c.now >= t }
 
 func (c *Core) tick() {
+	c.noteLag()
 	c.tickSession()
 	if !c.ready {
 		return
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"lilacrill/internal/placement"
@@ -10,7 +13,7 @@
 // fleet is what this controller knows of the machines.
 type fleet struct {
 	machines    map[wire.MachineID]*machine
-	ordered     []wire.MachineID
+	ordered     []*machine                  // by name; nil if that changed
 	imagesNoted map[wire.MachineID][]string // as the state service has them
 	imageShards map[int]map[wire.MachineID][]string
 	nextShard   int
@@ -51,14 +54,18 @@
 
 // machine is one machine as reported by its worker and listed by the cloud.
 type machine struct {
-	id     wire.MachineID
-	addr   string
-	kind   string
-	zone   string
-	spot   bool
-	first  Time // when it was first known here
-	status wire.MachineStatus
-	listed Time // when the list last had it
+	id    wire.MachineID
+	addr  string
+	kind  string
+	zone  string
+	spot  bool
+	first Time // when it was first known here
+	// entries is what stands on it by the records, host what the planning pass under
+	// way makes of it.
+	entries []*Entry
+	host    *placement.Host
+	status  wire.MachineStatus
+	listed  Time // when the list last had it
 
 	// newest is the newest report, whoever got it; direct is the newest that
 	// this controller got itself. Only direct ones prove anything.
@@ -133,13 +140,21 @@
 }
 
 // inOrder is the machines by name. It must not be changed.
-func (c *Core) inOrder() []wire.MachineID {
+func (c *Core) inOrder() []*machine {
 	if c.ordered == nil {
-		c.ordered = sortedKeys(c.machines)
+		c.ordered = slices.SortedFunc(maps.Values(c.machines), func(a, b *machine) int { return cmp.Compare(a.id, b.id) })
 	}
 	return c.ordered
 }
 
+// entriesOn is the records' entries on a machine.
+func (c *Core) entriesOn(id wire.MachineID) []*Entry {
+	if m := c.machines[id]; m != nil {
+		return m.entries
+	}
+	return nil
+}
+
 // running counts an entry's tasks that the newest report shows running.
 func (m *machine) running(e *Entry) int {
 	n := 0
@@ -186,11 +201,10 @@
 	uncleared, oldest := 0, false
 	deaf, reporting := 0, 0
 	c.up = 0
-	for _, id := range c.inOrder() {
-		m := c.machines[id]
+	for _, m := range c.inOrder() {
 		if m.gone || c.now.Sub(c.lastSign(m)) > forgetAfter && c.now.Sub(m.listed) > forgetAfter {
-			if len(c.onMachine[id]) == 0 && (!m.gone || c.now.Sub(m.goneAt) > forgetAfter) {
-				delete(c.machines, id)
+			if len(m.entries) == 0 && (!m.gone || c.now.Sub(m.goneAt) > forgetAfter) {
+				delete(c.machines, m.id)
 				c.ordered = nil
 			}
 			continue
@@ -207,8 +221,8 @@
 				deaf++
 			}
 		}
-		if c.after(m.pushAt) && quiet < c.silentAsk(m) {
-			for _, e := range c.onMachine[id] {
+		if m.settled != m.newest && c.after(m.pushAt) && quiet < c.silentAsk(m) {
+			for _, e := range m.entries {
 				if e.Launcher == c.boot && e.Halt == HaltNo {
 					if c.push(m) {
 						c.count(countResent, 1)
@@ -217,7 +231,7 @@
 				}
 			}
 		}
-		if m.left() && len(c.onMachine[id]) == 0 {
+		if m.left() && len(m.entries) == 0 {
 			continue
 		}
 		// Ask a silent worker itself: it may have lost its way to us. So is one
--- a/internal/core/gangs.go
+++ b/internal/core/gangs.go
@@ -57,7 +57,7 @@
 		free := h.Free.Plus(h.Freeing, 1)
 		r := room{host: h, now: free.Times(need, count)}
 		if h.Ranks&lower != 0 || w.promised && h.Beyond {
-			for _, e := range c.onMachine[h.ID] {
+			for _, e := range c.entriesOn(h.ID) {
 				if c.preemptable(p.rounds, e, w, false) {
 					free = free.Plus(e.need(), float64(e.Tasks.Len()))
 				}
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -75,6 +75,9 @@
 		c.toTell[m.id] = true
 	}
 	if direct && (m.direct == nil || r.Newer(m.direct)) {
+		if m.direct == nil || !sameReport(m.direct, r) {
+			m.lookAgain()
+		}
 		m.direct, m.directTasks, m.heardDirect = r, tasksOf(r), c.now
 		for key, since := range m.lacking {
 			if m.directTasks[key] != nil || c.now.Sub(since) > forgetAfter {
@@ -154,7 +157,7 @@
 	if m.showing || m.direct == m.newest || !c.after(m.showAt) || !c.mayAsk() {
 		return
 	}
-	for _, e := range c.onMachine[m.id] {
+	for _, e := range m.entries {
 		if !c.mine(e.page.team) {
 			continue
 		}
@@ -254,8 +257,7 @@
 	}
 	c.nextSound = c.now.Add(soundEvery)
 	var known []*machine // the ones heard last, in order
-	for _, id := range c.inOrder() {
-		m := c.machines[id]
+	for _, m := range c.inOrder() {
 		if m.addr == "" || m.gone || m.showing || c.now.Sub(m.heard) >= forgetAfter || m.newest == nil {
 			continue
 		}
--- a/internal/core/images.go
+++ b/internal/core/images.go
@@ -72,23 +72,22 @@
 	c.nextShard = (c.nextShard + 1) % imageShards
 	shard := c.nextShard
 	noted, size := map[wire.MachineID][]string{}, 0
-	for _, id := range c.inOrder() {
-		m := c.machines[id]
-		if m.newest == nil || m.gone || shardOf(id) != shard || len(m.images) == 0 {
+	for _, m := range c.inOrder() {
+		if m.newest == nil || m.gone || shardOf(m.id) != shard || len(m.images) == 0 {
 			continue
 		}
 		images := sortedKeys(m.images)
 		slices.SortStableFunc(images, func(a, b string) int { return -cmp.Compare(m.images[a], m.images[b]) })
 		images = images[:min(len(images), notedImages)]
 		slices.Sort(images)
-		size += len(id) + len(`"":[],`)
+		size += len(m.id) + len(`"":[],`)
 		for _, image := range images {
 			size += len(image) + len(`"",`)
 		}
 		if size > c.pageLimit() {
 			break // the rest is learnt from what they run
 		}
-		noted[id] = images
+		noted[m.id] = images
 	}
 	if maps.EqualFunc(noted, c.imageShards[shard], slices.Equal[[]string]) {
 		return
--- a/internal/core/index.go
+++ b/internal/core/index.go
@@ -11,11 +11,12 @@
 // index adds a page's entries to the index of the records, unindex takes them
 // out again.
 func (c *Core) index(p *page) {
+	p.look = true
 	for i := range p.entries {
 		e := &p.entries[i]
-		e.page = p
-		c.unsettle(e.Machine)
-		c.onMachine[e.Machine] = append(c.onMachine[e.Machine], e)
+		e.page, e.on = p, c.machineOf(e.Machine)
+		e.on.settled = nil
+		e.on.entries = append(e.on.entries, e)
 		c.ofJob[e.Job] = append(c.ofJob[e.Job], e)
 		if c.jobs[e.Job] == nil {
 			c.noteOver(e.Machine)
@@ -30,8 +31,8 @@
 	here := func(e *Entry) bool { return e.page == p }
 	for i := range p.entries {
 		e := &p.entries[i]
-		c.unsettle(e.Machine)
-		dropWhere(c.onMachine, e.Machine, here)
+		e.on.settled = nil
+		e.on.entries = slices.DeleteFunc(e.on.entries, here)
 		dropWhere(c.ofJob, e.Job, here)
 		if e.Rank == wire.RankCritical.Order() {
 			if c.critical[e.Machine]--; c.critical[e.Machine] == 0 {
@@ -41,13 +42,6 @@
 	}
 }
 
-// unsettle notes that a machine may have to be told something new.
-func (c *Core) unsettle(id wire.MachineID) {
-	if m := c.machines[id]; m != nil {
-		m.settled = nil
-	}
-}
-
 func dropWhere[K comparable](m map[K][]*Entry, k K, drop func(*Entry) bool) {
 	if left := slices.DeleteFunc(m[k], drop); len(left) > 0 {
 		m[k] = left
@@ -89,18 +83,17 @@
 
 // hosts builds the fleet as placement sees it: what is on the machines by the
 // records, with the rounds that are being written.
-func (c *Core) hosts(rounds map[string]*round, visit func(*page, *Entry, *placement.Host)) (placement.Fleet, map[wire.MachineID]*placement.Host) {
+func (c *Core) hosts(rounds map[string]*round, visit func(*page, *Entry, *placement.Host)) placement.Fleet {
 	room := make([]placement.Host, len(c.machines))
 	fleet := make(placement.Fleet, 0, len(c.machines))
-	byID := make(map[wire.MachineID]*placement.Host, len(c.machines))
-	for i, id := range c.inOrder() {
-		m := c.machines[id]
+	for i, m := range c.inOrder() {
+		m.host = nil
 		t := c.kind(m.kind)
 		if t == nil || m.newest == nil || m.gone {
 			continue
 		}
 		h := &room[i]
-		*h = placement.Host{ID: id, Labels: c.labelsOf(m), Total: amountOf(t), Closed: !c.usable(m),
+		*h = placement.Host{ID: m.id, Labels: c.labelsOf(m), Total: amountOf(t), Closed: !c.usable(m),
 			Free: amountOf(t), Slots: maxPerHost, Images: m.has, Price: t.Rate, Pulling: m.pulling}
 		if m.spot {
 			h.Price = t.MarketPrice
@@ -109,7 +102,7 @@
 			h.Penalty = 1
 		}
 		fleet = append(fleet, h)
-		byID[id] = h
+		m.host = h
 	}
 	// Entries of one job mostly stand together.
 	var last wire.JobID
@@ -117,11 +110,15 @@
 	var tags placement.Tags
 	within := false
 	c.planned(rounds, func(p *page, e *Entry) {
-		h := byID[e.Machine]
+		m := e.on
+		if m == nil {
+			m = c.machineOf(e.Machine) // it is of a round that is being made
+		}
+		h := m.host
 		if h == nil {
 			// Rules with within read the zone of an unknown machine too.
 			h = &placement.Host{ID: e.Machine, Labels: placement.Tags{placement.LabelZone: p.zone}, Closed: true}
-			byID[e.Machine] = h
+			m.host = h
 			fleet = append(fleet, h)
 		}
 		if e.Job != last {
@@ -146,7 +143,7 @@
 		h.Groups = append(h.Groups, g)
 		visit(p, e, h)
 	})
-	return fleet, byID
+	return fleet
 }
 
 // planned visits all entries as the rounds under way will leave them.
@@ -167,13 +164,11 @@
 
 // planPages are the team's pages as a round leaves them.
 func (t *team) planPages(r *round) []*page {
-	out := make([]*page, 0, len(t.pages))
-	for _, key := range sortedKeys(t.pages) {
-		p := t.pages[key]
-		if r != nil {
-			p = r.view(p)
+	out := t.inOrder()
+	if r != nil {
+		for i, p := range out {
+			out[i] = r.view(p)
 		}
-		out = append(out, p)
 	}
 	if r != nil {
 		for _, key := range sortedKeys(r.pages) {
@@ -196,6 +191,10 @@
 	if m.deaf() && !c.unheard {
 		return false
 	}
-	return c.now.Sub(m.heard) < config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+reportSlack &&
-		slices.Contains(c.set.Cluster.Zones, m.zone)
+	return c.reports(m) && slices.Contains(c.set.Cluster.Zones, m.zone)
+}
+
+// reports reports whether a machine was heard within its reporting interval.
+func (c *Core) reports(m *machine) bool {
+	return c.now.Sub(m.heard) < config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+reportSlack
 }
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -54,7 +54,7 @@
 	var orders []wire.Order
 	r := m.newest
 	m.holding = false
-	for _, e := range c.onMachine[m.id] {
+	for _, e := range m.entries {
 		if e.Shift != r.Shift {
 			continue
 		}
@@ -106,7 +106,7 @@
 func (c *Core) clears(m *machine) []wire.Order {
 	var orders []wire.Order
 	recorded := map[attemptKey]bool{}
-	for _, e := range c.onMachine[m.id] {
+	for _, e := range m.entries {
 		for i := range e.Tasks.All {
 			recorded[e.key(i)] = true
 		}
@@ -177,7 +177,7 @@
 			continue
 		}
 		m.uncleared[key] = max(c.feed, c.written)
-		for _, e := range c.onMachine[m.id] {
+		for _, e := range m.entries {
 			if e.Job == key.task.Job && e.Attempt == key.attempt && e.Tasks.Has(key.task.Index) {
 				delete(m.uncleared, key)
 			}
@@ -246,7 +246,7 @@
 // it waits for: until its next report, which may be far off, nothing else would
 // show it.
 func (c *Core) unfenced(m *machine) bool {
-	for _, e := range c.onMachine[m.id] {
+	for _, e := range m.entries {
 		if e.Shift == m.newest.Shift && e.Fence > m.newest.Baton && e.Fence <= c.baton && (e.Launcher == c.boot || c.mine(e.page.team)) {
 			return true
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -13,7 +13,6 @@
 type placing struct {
 	rounds map[string]*round
 	fleet  placement.Fleet
-	byID   map[wire.MachineID]*placement.Host
 	used   map[string]placement.Amount // of the teams' limits
 	own    map[wire.JobID][]*placement.Host
 	// full holds what found no room, by all that a search depends on: what needs
@@ -79,7 +78,7 @@
 		ranked: map[like]*placement.Ranking{}}
 	placed := map[wire.JobID]TaskSet{}
 	zones := map[wire.JobID]string{}
-	p.fleet, p.byID = c.hosts(rounds, func(pg *page, e *Entry, h *placement.Host) {
+	p.fleet = c.hosts(rounds, func(pg *page, e *Entry, h *placement.Host) {
 		p.used[pg.team] = p.used[pg.team].Plus(e.need(), float64(e.Tasks.Len()))
 		placed[e.Job] = placed[e.Job].With(e.Tasks)
 		p.own[e.Job] = append(p.own[e.Job], h)
@@ -288,7 +287,7 @@
 	take := func() {
 		for _, ch := range choices {
 			*count -= ch.Count
-			p.own[j.id] = append(p.own[j.id], p.byID[ch.Machine])
+			p.own[j.id] = append(p.own[j.id], c.machines[ch.Machine].host)
 			if j.spec.Together {
 				w.zone = ch.Zone
 			}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -21,16 +21,17 @@
 	nextSurvey    Time
 	nextLook      Time
 	lastBump      Time
+	lastTick      Time
+	lag           float64 // how late ticks come of late, in ticks
 	nextSweep     Time
 	sweeping      bool
 
 	// The index of the records: real ones for commands, and with the rounds
 	// that are being written for planning.
-	onMachine map[wire.MachineID][]*Entry
-	ofJob     map[wire.JobID][]*Entry
-	critical  map[wire.MachineID]int // entries of critical tasks
-	stewards  map[string]string      // team to controller, as far as asked since the living changed
-	within    map[wire.JobID]bool    // the jobs within their teams' guarantees
+	ofJob    map[wire.JobID][]*Entry
+	critical map[wire.MachineID]int // entries of critical tasks
+	stewards map[string]string      // team to controller, as far as asked since the living changed
+	within   map[wire.JobID]bool    // the jobs within their teams' guarantees
 }
 
 // plannerTeam is what the planner keeps of a team.
@@ -46,7 +47,6 @@
 }
 
 func (p *planner) init() {
-	p.onMachine = map[wire.MachineID][]*Entry{}
 	p.ofJob = map[wire.JobID][]*Entry{}
 	p.critical = map[wire.MachineID]int{}
 	p.stewards = map[string]string{}
@@ -120,7 +120,7 @@
 	c.urgent = false
 	c.nextPlan = c.now.Add(c.planPause())
 	if rest {
-		c.nextRest = c.now.Add(max(restEvery, 2*c.planPause()))
+		c.nextRest = c.now.Add(max(c.paced(restEvery, planMost), 2*c.planPause()))
 		c.nextSurvey = c.now.Add(surveyEvery)
 	}
 	paced := c.crowded() && !c.after(c.nextUrgent)
@@ -213,7 +213,7 @@
 // tasks without a machine, or whatever else its steward looks after.
 func (c *Core) awaits(team string) bool {
 	mine := c.mine(team)
-	if mine && slices.ContainsFunc(c.inOrder(), func(id wire.MachineID) bool { return c.machines[id].recallAt != 0 }) {
+	if mine && slices.ContainsFunc(c.inOrder(), func(m *machine) bool { return m.recallAt != 0 }) {
 		return true
 	}
 	for id, j := range c.jobs {
@@ -230,9 +230,34 @@
 // planPause is the least time between passes, which cost in proportion to the
 // fleet.
 func (c *Core) planPause() time.Duration {
-	return planEvery + time.Duration(len(c.machines))*planPerMachine
+	return c.paced(planEvery+time.Duration(len(c.machines))*planPerMachine, planMost)
 }
 
+// paced is a pause of what can be put off, stretched where this process has a small
+// share of a processor, and further while it falls behind: leases, answers and what
+// waits for them come first. It is not stretched beyond most.
+func (c *Core) paced(pause, most time.Duration) time.Duration {
+	stretch := max(1, usualShare/c.set.Cluster.Quota.CoreShare) * (1 + c.lag)
+	return max(pause, min(most, time.Duration(float64(pause)*stretch)))
+}
+
+// noteLag is called at every tick: how late ticks come shows whether this process
+// keeps up.
+func (c *Core) noteLag() {
+	late := min(c.now.Sub(c.lastTick)-TickEvery, stoodStill)
+	c.lag += lagWeight * (max(0, float64(late)/float64(TickEvery)) - c.lag)
+	c.lastTick = c.now
+}
+
+const (
+	// TickEvery is how often the core is to be given a Tick.
+	TickEvery = 50 * time.Millisecond
+	// usualShare is the share of a processor that pauses are meant for.
+	usualShare = 0.18
+	planMost   = time.Second
+	lagWeight  = 0.1 // of the last tick, in the mean
+)
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for k := range m {
--- a/internal/core/proofs.go
+++ b/internal/core/proofs.go
@@ -9,37 +9,51 @@
 // takeProofs removes what is proven to be gone and fences what may be. Silence
 // alone proves nothing.
 func (c *Core) takeProofs(r *round) {
-	for _, key := range sortedKeys(r.team.pages) {
-		p := r.team.pages[key]
+	for _, p := range r.team.inOrder() {
+		if !p.look {
+			continue
+		}
+		p.look = false
 		for i := range p.entries {
 			// Room is left for the pages of the zones that it may place in. On a page
 			// that is written anyway, more proofs cost no further write.
-			if r.pages[key] == nil && !c.endFits(r) || !c.fits(r, 2) {
+			if r.pages[p.key] == nil && !c.endFits(r) || !c.fits(r, 2) {
+				p.look = true
 				break
 			}
-			c.takeProof(r, p, &p.entries[i])
+			if c.takeProof(r, p, &p.entries[i]) {
+				p.look = true
+			}
 		}
 	}
 }
 
-func (c *Core) takeProof(r *round, p *page, e *Entry) {
-	m := c.machines[e.Machine]
-	if m == nil {
-		return
+// lookAgain notes that a machine showed something new: what stands on it may be
+// proven to have ended.
+func (m *machine) lookAgain() {
+	for _, e := range m.entries {
+		e.page.look = true
 	}
+}
+
+// takeProof takes what is proven of one entry, and reports whether to look at it
+// again even if its machine shows nothing new: something is open, or was taken and
+// is yet to be written. Most entries run for long and cost nothing meanwhile.
+func (c *Core) takeProof(r *round, p *page, e *Entry) bool {
+	m := e.on
 	if m.gone {
 		c.remove(r, p, e, e.Tasks, TaskSet{})
-		return
+		return true
 	}
 	rep := m.direct
 	if rep == nil || rep.Shift < e.Shift {
-		return
+		return false
 	}
 	if rep.Shift > e.Shift {
 		// The worker's lease ran out: it killed everything, and obeys no command
 		// that was meant for the session before.
 		c.remove(r, p, e, e.Tasks, TaskSet{})
-		return
+		return true
 	}
 	j := c.jobs[e.Job]
 	var gone, done, lacking TaskSet
@@ -81,7 +95,7 @@
 		}
 	}
 	if gone.Empty() {
-		return
+		return !lacking.Empty()
 	}
 	if !done.Empty() {
 		if e.Shape == wire.ShapeGang {
@@ -95,6 +109,7 @@
 		}
 	}
 	c.remove(r, p, e, gone, done)
+	return true
 }
 
 // endFits reports whether a round may take on another change and still have room
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -101,7 +101,8 @@
 	Shift wire.Shift
 	Tasks TaskSet
 
-	page *page // where it stands; set by the index
+	page *page    // where it stands; set by the index
+	on   *machine // the same
 }
 
 // head is what the entries of one job and round share.
@@ -147,6 +148,8 @@
 	size    int // the most that its value can come to as its tasks end one by one
 	entries []Entry
 	done    map[wire.JobID]TaskSet
+	// look says that something may have come up since its proofs were last taken.
+	look bool
 }
 
 // pageValue is a page's value in the state service. Tasks that are done move
--- a/internal/core/returning.go
+++ b/internal/core/returning.go
@@ -23,9 +23,6 @@
 
 // spoil finds machines that should go: dead, silent, never up, or idle.
 func (c *Core) spoil() {
-	for id := range c.onMachine {
-		c.machineOf(id) // one that neither reports nor is listed is silent too
-	}
 	silence, idle := config.Seconds(c.chosen.SilenceS), config.Seconds(c.chosen.IdleS)
 	silent, reporting := 0, 0
 	bySilent, byHeard, lastHeard := map[string]int{}, map[string]int{}, map[string]Time{}
@@ -63,18 +60,18 @@
 	// cut off.
 	cutOff := silent > 2 && 2*silent > reporting && !c.siblingsWell() ||
 		c.inDoubt() && (silent < reporting || !c.siblingsWell())
-	for _, id := range c.inOrder() {
-		m := c.machines[id]
-		if _, going := c.dooms[id]; m.gone && len(c.onMachine[id]) > 0 && !going && c.dooming[id] == "" && !slices.Contains(c.doom.Gone, id) {
+	for _, m := range c.inOrder() {
+		id := m.id
+		if _, going := c.dooms[id]; m.gone && len(m.entries) > 0 && !going && c.dooming[id] == "" && !slices.Contains(c.doom.Gone, id) {
 			// It was returned while that could not be written down. Others have to learn
 			// that what stood on it is gone.
 			c.toDoom(m, whyEnded)
 			continue
-		} else if m.gone || m.left() && len(c.onMachine[id]) == 0 || c.dooming[id] != "" || going {
+		} else if m.gone || m.left() && len(m.entries) == 0 || c.dooming[id] != "" || going {
 			continue
 		}
 		quiet := c.now.Sub(c.lastSign(m))
-		busy := len(c.onMachine[id]) > 0
+		busy := len(m.entries) > 0
 		if busy || m.reserved || m.newest == nil {
 			m.idleSince = 0
 		} else if m.idleSince == 0 {
@@ -95,11 +92,12 @@
 			if c.mayGiveUp(m, reporting) {
 				c.toDoom(m, "silent")
 			}
-		case m.deaf() && m.heard > m.deafSince && !c.unheard && !cutOff &&
+		case m.deaf() && m.heard > m.deafSince && c.reports(m) && !c.unheard && !cutOff &&
 			c.now.Sub(m.deafSince) > config.Seconds(c.set.Cluster.Workers.LeaseS/2):
 			// Its reports come, but it hears nothing: its lease runs out unseen. One
 			// whose reports do not come either is silent, and may be in a zone that is
-			// cut off: once all machines of such a zone went this way.
+			// cut off: once all machines of such a zone went this way, and later one of
+			// which a report had come just after the first call that the cut swallowed.
 			if c.mayGiveUp(m, reporting) {
 				c.toDoom(m, "unreachable")
 			}
@@ -141,7 +139,7 @@
 // often goes on after a while: where nothing urgent stands on it, waiting costs
 // less than to start its work anew on a machine that has yet to boot.
 func (c *Core) lenience(m *machine, silence time.Duration) time.Duration {
-	for _, e := range c.onMachine[m.id] {
+	for _, e := range m.entries {
 		if e.Rank == wire.RankCritical.Order() {
 			if c.cutZones[m.zone].silent >= cutLeast {
 				// A zone that is cut off works on, and its workers' leases last for a
@@ -161,7 +159,7 @@
 		// Until all of the zone had reason to report, it may be cut off.
 		silence += config.Seconds(1.3 * c.set.Cluster.Workers.ReportS)
 	}
-	for _, e := range c.onMachine[m.id] {
+	for _, e := range m.entries {
 		if e.Rank == wire.RankHigh.Order() {
 			return silence
 		}
@@ -223,17 +221,17 @@
 		switch m := c.machineOf(id); {
 		case m.gone:
 			changed = true
-			if len(c.onMachine[id]) > 0 {
+			if len(c.machineOf(id).entries) > 0 {
 				next.Gone = keep(next.Gone, id)
 			}
-		case d.why == whyIdle && len(c.onMachine[id]) > 0 && !c.returned[id]:
+		case d.why == whyIdle && len(c.machineOf(id).entries) > 0 && !c.returned[id]:
 			changed = true // it got work before its end was written down: keep it
 		default:
 			next.Going[d.why] = keep(next.Going[d.why], id)
 		}
 	}
 	for _, id := range c.doom.Gone {
-		if len(c.onMachine[id]) == 0 {
+		if len(c.machineOf(id).entries) == 0 {
 			changed = true
 		} else {
 			next.Gone = keep(next.Gone, id)
@@ -282,7 +280,7 @@
 	for _, id := range sortedKeys(c.dooms) {
 		d := c.dooms[id]
 		if m := c.machineOf(id); m.gone || d.since > c.feed || len(names) == wire.MaxReturn ||
-			d.why == whyIdle && len(c.onMachine[id]) > 0 && !c.returned[id] {
+			d.why == whyIdle && len(c.machineOf(id).entries) > 0 && !c.returned[id] {
 			continue
 		}
 		names = append(names, id)
@@ -301,6 +299,7 @@
 		for _, id := range names {
 			m := c.machineOf(id)
 			m.gone, m.goneAt, c.dirty = true, c.now, true
+			m.lookAgain()
 			c.count(countReturned+c.dooms[id].why, 1)
 			delete(c.returned, id)
 		}
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -48,7 +48,7 @@
 			c.loading = true
 			c.load()
 		}
-	} else if !c.watching && c.after(c.watchFrom) {
+	} else if !c.watching && c.after(c.watchFrom) && c.now.Sub(c.inStep) > watchIdle {
 		c.watch()
 	}
 	if !c.permitCall && c.after(c.nextExtend) {
--- a/internal/core/stopping.go
+++ b/internal/core/stopping.go
@@ -53,12 +53,11 @@
 // drain stops tasks on machines that the cloud is about to take, as late as
 // they can still save.
 func (c *Core) drain(rounds map[string]*round) {
-	for _, id := range c.inOrder() {
-		m := c.machines[id]
+	for _, m := range c.inOrder() {
 		if m.recallAt == 0 {
 			continue
 		}
-		for _, e := range c.onMachine[id] {
+		for _, e := range m.entries {
 			j := c.jobs[e.Job]
 			if j == nil || e.Halt != HaltNo || !c.mine(j.spec.Team) {
 				continue
@@ -75,7 +74,7 @@
 					continue
 				}
 				for _, l := range c.entriesOf(r, j.id) {
-					if l.entry.Machine == id && l.entry.Halt == HaltNo {
+					if l.entry.Machine == m.id && l.entry.Halt == HaltNo {
 						x := *l.entry
 						c.halt(r, l.page, &x, x.Tasks, HaltSave)
 					}
@@ -111,7 +110,7 @@
 			continue
 		}
 		room := h.Free.Plus(h.Freeing, 1)
-		for _, e := range c.onMachine[h.ID] {
+		for _, e := range c.entriesOn(h.ID) {
 			if c.preemptable(p.rounds, e, w, promised) {
 				room = room.Plus(e.need(), float64(e.Tasks.Len()))
 			}
@@ -173,7 +172,7 @@
 		return true
 	}
 	var victims []*Entry
-	for _, e := range c.onMachine[h.ID] {
+	for _, e := range c.entriesOn(h.ID) {
 		if c.preemptable(rounds, e, w, promised) {
 			victims = append(victims, e)
 		}
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -78,6 +78,7 @@
 type team struct {
 	name  string
 	pages map[string]*page
+	order []string       // the pages' keys in order; nil if there are new ones
 	count map[string]int // zone to number of pages
 	plannerTeam
 }
@@ -173,7 +174,7 @@
 func (c *Core) applyJob(id wire.JobID, value json.RawMessage, stamp wire.Ledger) error {
 	c.dirty = true
 	for _, e := range c.ofJob[id] {
-		c.unsettle(e.Machine)
+		e.on.settled, e.page.look = nil, true
 	}
 	if value == nil {
 		// It was moved, in the same change, to a key of its own.
@@ -240,6 +241,8 @@
 	t := c.teamOf(p.team)
 	if old := t.pages[p.key]; old != nil {
 		c.unindex(old)
+	} else {
+		t.order = nil
 	}
 	t.pages[p.key] = p
 	t.count[p.zone] = max(t.count[p.zone], p.n+1)
@@ -252,6 +255,18 @@
 	c.dirty = true
 }
 
+// inOrder is the team's pages by key.
+func (t *team) inOrder() []*page {
+	if t.order == nil {
+		t.order = sortedKeys(t.pages)
+	}
+	out := make([]*page, len(t.order))
+	for i, key := range t.order {
+		out[i] = t.pages[key]
+	}
+	return out
+}
+
 // applyDoom takes the list of machines about to be returned and of those that
 // are gone.
 func (c *Core) applyDoom(value json.RawMessage, stamp wire.Ledger) error {
@@ -280,6 +295,7 @@
 		// What stood on it may be placed again at once.
 		if m := c.machineOf(id); !m.gone {
 			m.gone, m.goneAt = true, c.now
+			m.lookAgain()
 			c.lostSome, c.urgent = true, true
 		}
 	}
@@ -302,7 +318,9 @@
 		c.finals = finals
 		c.withdrawn, c.withdrawnFrom = nil, 0
 		clear(c.overOn)
-		clear(c.onMachine)
+		for _, m := range c.machines {
+			m.entries = nil
+		}
 		clear(c.ofJob)
 		clear(c.critical)
 		for _, e := range l.Entries {
@@ -344,6 +362,10 @@
 const (
 	watchBlock = 10 * time.Second
 	watchPause = 40 * time.Millisecond
+	// watchIdle is how long the feed must not have been read for a watch to be
+	// opened: while users ask, barriers bring all of it, and a watch would only have
+	// it decoded twice.
+	watchIdle  = 100 * time.Millisecond
 	retryState = 250 * time.Millisecond
 	// watchPart and barrierPart are the parts of this controller's requests that
 	// reading the feed may take.
--- a/internal/core/vouching.go
+++ b/internal/core/vouching.go
@@ -225,7 +225,7 @@
 // it may still start, since its worker has not shown that no launch can come.
 func (c *Core) endedOn(id wire.MachineID) (held, open, lacking bool) {
 	m := c.machines[id]
-	for _, e := range c.onMachine[id] {
+	for _, e := range c.entriesOn(id) {
 		if c.jobs[e.Job] != nil {
 			continue
 		}
@@ -290,7 +290,7 @@
 // looks after a team of the ended work there, or the machine reports here.
 func (c *Core) tells(m *machine) bool {
 	return m.direct != nil && m.direct == m.newest ||
-		slices.ContainsFunc(c.onMachine[m.id], func(e *Entry) bool { return c.jobs[e.Job] == nil && c.mine(e.page.team) })
+		slices.ContainsFunc(m.entries, func(e *Entry) bool { return c.jobs[e.Job] == nil && c.mine(e.page.team) })
 }
 
 // lastResort is how long a machine that cannot be told may hold ended work before
@@ -335,6 +335,7 @@
 		for _, id := range names {
 			m := c.machineOf(id)
 			m.gone, m.goneAt, c.dirty = true, c.now, true
+			m.lookAgain()
 			c.count(countUnwritten, 1)
 		}
 	}), names})
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// tight has teams reach their limits with what there is to do.
+func tight(set *config.Settings) {
+	for i := range set.Cluster.Teams {
+		set.Cluster.Teams[i].CPUsMax = 12
+	}
+}
+
 // restart ends a controller and has it back after a while.
 func (w *World) restart(i int, after time.Duration) {
 	w.Seen["restart"]++
@@ -158,14 +165,14 @@
 		w.At(20*second, func() { w.restart(0, 6*second) })
 		w.At(21*second, func() { w.restart(1, 400*time.Millisecond) })
 	}},
-	{name: "at the limit, machines hang at their cancellation, leaders change", seen: map[string]int{"machine hung at a cancellation": 8, "restart": 4, "at a limit": 3}, play: func(w *World) {
+	{name: "at the limit, machines hang at their cancellation, leaders change", set: tight, seen: map[string]int{"machine hung at a cancellation": 8, "restart": 4, "at a limit": 8}, play: func(w *World) {
 		w.HangAtCancel = 25 * second
 		long(w, 16, 20*second)
 		w.At(19*second, w.noteLimits)
 		w.At(20500*time.Millisecond, func() { w.restartBuyer(3 * second) })
 		w.At(45*second, func() { w.HangAtCancel = 0 })
 	}},
-	{name: "at the limit, machines deaf at a cancellation, leaders change", seen: map[string]int{"withdrawn": 20, "restart": 4, "at a limit": 3}, play: func(w *World) {
+	{name: "at the limit, machines deaf at a cancellation, leaders change", set: tight, seen: map[string]int{"withdrawn": 20, "restart": 4, "at a limit": 8}, play: func(w *World) {
 		long(w, 16, 20*second)
 		w.At(19*second, func() {
 			w.noteLimits()
@@ -173,7 +180,7 @@
 		})
 		w.At(20500*time.Millisecond, func() { w.restartBuyer(3 * second) })
 	}},
-	{name: "at the limit, machines cut off at a cancellation, leaders change", seen: map[string]int{"withdrawn": 20, "restart": 4, "at a limit": 3}, play: func(w *World) {
+	{name: "at the limit, machines cut off at a cancellation, leaders change", set: tight, seen: map[string]int{"withdrawn": 20, "restart": 4, "at a limit": 8}, play: func(w *World) {
 		long(w, 16, 20*second)
 		w.At(19*second, func() { w.noteLimits(); w.CutOff(zones[0], 2, 35*second) })
 		w.At(20500*time.Millisecond, func() { w.restart(0, 3*second) })
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -278,7 +278,7 @@
 	tick = func() {
 		if n.gen == gen {
 			w.step(n, core.Tick{})
-			w.after(50*time.Millisecond, tick)
+			w.after(core.TickEvery, tick)
 		}
 	}
 	tick()
