--- a/cmd/lilacrill/main_test.go
+++ b/cmd/lilacrill/main_test.go
@@ -155,7 +155,7 @@
 		if code, text, _ := c.call(t, 0, "POST", "/hello", string(b)); code == 200 {
 			var a wire.ReportAnswer
 			require.NoError(t, json.Unmarshal([]byte(text), &a))
-			r.Baton = max(r.Baton, a.Baton)
+			r.Token = max(r.Token, a.Token)
 			for _, o := range a.Orders {
 				if o.Verb == wire.VerbLaunch {
 					done[o.Task] = wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskExited, Cause: wire.CauseDone}
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -115,7 +115,7 @@
 
 func (c *Core) viewControllers() []wire.AdminController {
 	out := []wire.AdminController{{Label: c.set.Label, Boot: c.boot, Alive: true, Buyer: c.buyer == c.boot, Self: true,
-		State: c.stateFresh(), Heard: true, Hears: true, Deaf: c.deaf(), Ledger: c.feed, Baton: c.baton,
+		State: c.stateFresh(), Heard: true, Hears: true, Isolated: c.isolated(), Ledger: c.feed, Token: c.token,
 		InStepS: c.now.Sub(c.inStep).Seconds(), KnownS: c.now.Sub(c.known()).Seconds(), Renews: c.now.Sub(c.known()) <= c.cancelSlack()}}
 	for _, s := range c.set.Siblings {
 		boot, alive := c.nodes[s.Label]
@@ -123,7 +123,7 @@
 		out = append(out, wire.AdminController{Label: s.Label, Boot: boot, Alive: alive, Buyer: alive && c.buyer == boot,
 			State: p != nil && p.fresh && c.now.Sub(p.heard) < 3*beatEvery,
 			Heard: p != nil && c.now.Sub(p.heard) <= peerSilence, Hears: p != nil && c.now.Sub(p.echoed) <= echoSilence,
-			Deaf: c.deafNodes[s.Label]})
+			Isolated: c.isolatedNodes[s.Label]})
 	}
 	return out
 }
@@ -170,7 +170,7 @@
 		v := wire.AdminMachine{ID: m.id, Type: m.kind, Zone: m.zone, Spot: m.spot, Status: m.status,
 			SilentS: c.now.Sub(c.lastSign(m)).Seconds(), Faulty: !c.after(m.badUntil), Reserved: m.reserved,
 			Late: m.unborn() && m.status == wire.MachineBooting && !c.coming(m), Recalled: m.recallAt != 0}
-		v.Doomed = c.dooms[m.id].why
+		v.Doomed = c.leaving[m.id].why
 		for _, e := range m.entries {
 			v.Tasks += e.Tasks.Len()
 		}
--- a/internal/core/boots.go
+++ b/internal/core/boots.go
@@ -35,7 +35,7 @@
 	if t == nil || !m.unborn() {
 		return false
 	}
-	if _, going := c.dooms[m.id]; going {
+	if _, going := c.leaving[m.id]; going {
 		return false
 	}
 	return c.now.Sub(m.born) < config.Seconds(bootUsual*t.StartupS)+bootSlack
@@ -85,7 +85,7 @@
 func (c *Core) doubts() map[capacity.Key]float64 {
 	waiting, overdue := map[capacity.Key]float64{}, map[capacity.Key]float64{}
 	for _, m := range c.machines {
-		if _, going := c.dooms[m.id]; going || !m.unborn() || m.status != wire.MachineBooting {
+		if _, going := c.leaving[m.id]; going || !m.unborn() || m.status != wire.MachineBooting {
 			continue
 		}
 		key := capacity.Key{Type: m.kind, Zone: m.zone, Spot: m.spot}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -19,31 +19,31 @@
 	backlog []demand // tasks without room, as the last plan left them
 	lacking int      // tasks that the spare room falls short of
 
-	claiming  bool
-	vacant    Time // since when nobody is known to buy
-	listing   bool
-	nextList  Time
-	lists     int // good lists since this controller became the buyer
-	hiring    int
-	nextBuy   Time
-	refused   map[capacity.Key]refusal
-	returning bool
-	returned  map[wire.MachineID]bool   // asked to be returned, so not to be kept
-	dooming   map[wire.MachineID]string // to be written down as going, and why
-	cutZones  map[string]cut            // zones that seem to be cut off
-	dearest   float64                   // the price of a core above which machines are left alone; 0: not known
-	doomCall  bool                      // the list of them is being written
-	nextDoom  Time
-	nextSpoil Time
-	toldCloud map[wire.MachineID]wire.MachineStatus // as the siblings were told
-	boots     map[string]boots                      // by type
-	silentAt  []Time                                // when machines were given up for their silence
+	claiming    bool
+	vacant      Time // since when nobody is known to buy
+	listing     bool
+	nextList    Time
+	lists       int // good lists since this controller became the buyer
+	hiring      int
+	nextBuy     Time
+	refused     map[capacity.Key]refusal
+	returning   bool
+	returned    map[wire.MachineID]bool   // asked to be returned, so not to be kept
+	toReturn    map[wire.MachineID]string // to be written down as going, and why
+	cutZones    map[string]cut            // zones that seem to be cut off
+	dearest     float64                   // the price of a core above which machines are left alone; 0: not known
+	returnsCall bool                      // the list of them is being written
+	nextReturns Time
+	nextSpoil   Time
+	toldCloud   map[wire.MachineID]wire.MachineStatus // as the siblings were told
+	boots       map[string]boots                      // by type
+	silentAt    []Time                                // when machines were given up for their silence
 }
 
 func (v *cloudView) init() {
 	v.refused = map[capacity.Key]refusal{}
 	v.boots = map[string]boots{}
-	v.dooming = map[wire.MachineID]string{}
+	v.toReturn = map[wire.MachineID]string{}
 	v.cutZones = map[string]cut{}
 	v.returned = map[wire.MachineID]bool{}
 }
@@ -54,7 +54,7 @@
 	buyEvery       = 300 * time.Millisecond
 	spoilEvery     = 200 * time.Millisecond
 	spoilMost      = 500 * time.Millisecond
-	doomEvery      = 300 * time.Millisecond
+	returnsEvery   = 300 * time.Millisecond
 	claimPatience  = 3 * time.Second
 	refusalPause   = 5 * time.Second // doubled with every refusal in a row
 	refusalMost    = 40 * time.Second
@@ -92,7 +92,7 @@
 		c.claim()
 		return
 	}
-	if c.deaf() {
+	if c.isolated() {
 		c.resign()
 		return
 	}
@@ -106,7 +106,7 @@
 		c.nextSpoil = c.now.Add(c.paced(spoilEvery, spoilMost))
 		c.spoil()
 	}
-	c.writeDoom()
+	c.writeReturns()
 	c.giveBack()
 	c.noteImages()
 	if c.after(c.nextBuy) {
@@ -139,7 +139,7 @@
 	if c.vacant == 0 {
 		c.vacant = c.now
 	}
-	if c.claiming || c.permit == 0 || !c.enrolled || c.deaf() || !c.mine("buyer") && c.now.Sub(c.vacant) < claimPatience {
+	if c.claiming || c.permit == 0 || !c.enrolled || c.isolated() || !c.mine("buyer") && c.now.Sub(c.vacant) < claimPatience {
 		return
 	}
 	c.claiming = true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -228,7 +228,7 @@
 		}
 		r := m.direct
 		if m.told != nil && sameReport(m.told, r) {
-			line.Heard = append(line.Heard, wire.Heard{Machine: id, Shift: r.Shift, Tally: r.Tally, Baton: r.Baton})
+			line.Heard = append(line.Heard, wire.Heard{Machine: id, Shift: r.Shift, Tally: r.Tally, Token: r.Token})
 		} else {
 			line.Reports = append(line.Reports, r)
 		}
@@ -246,7 +246,7 @@
 }
 
 // sameReport reports whether nothing changed between two reports of a machine
-// but their number and the baton.
+// but their number and the token.
 func sameReport(a, b *wire.Report) bool {
 	return a.Shift == b.Shift && a.RecallS == nil && b.RecallS == nil && a.Addr == b.Addr && slices.Equal(a.Tasks, b.Tasks)
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -81,10 +81,10 @@
 
 	pulling int // images that it is fetching
 
-	sentOn     Time         // when it was told to try another controller
-	told       *wire.Report // what the siblings were last told of it
-	unanswered int          // direct calls without an answer since the last that had one, whatever it reports
-	deafSince  Time         // when the first of them was made
+	sentOn           Time         // when it was told to try another controller
+	told             *wire.Report // what the siblings were last told of it
+	unanswered       int          // direct calls without an answer since the last that had one, whatever it reports
+	unreachableSince Time         // when the first of them was made
 
 	pushing  bool
 	held     bool         // waits for its orders to be sent
@@ -199,7 +199,7 @@
 	c.tickOver()
 	c.sound()
 	uncleared, oldest := 0, false
-	deaf, reporting := 0, 0
+	unreachable, reporting := 0, 0
 	c.up = 0
 	for _, m := range c.inOrder() {
 		if m.gone || c.now.Sub(c.lastSign(m)) > forgetAfter && c.now.Sub(m.listed) > forgetAfter {
@@ -217,8 +217,8 @@
 		quiet := c.now.Sub(c.lastSign(m))
 		if m.newest != nil && quiet < forgetAfter {
 			reporting++
-			if m.deaf() {
-				deaf++
+			if m.unreachable() {
+				unreachable++
 			}
 		}
 		if m.settled != m.newest && c.after(m.pushAt) && quiet < c.silentAsk(m) {
@@ -241,9 +241,9 @@
 			c.show(m)
 		}
 	}
-	c.unheard = deaf > 2 && 3*deaf > reporting
+	c.unheard = unreachable > 2 && 3*unreachable > reporting
 	if uncleared > manyClears || oldest && c.now.Sub(c.lastBump) > sweepClears {
-		c.raiseBaton()
+		c.raiseToken()
 	}
 }
 
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -144,7 +144,7 @@
 	}
 	c.backFrom(m)
 	r := *m.newest
-	r.Tally, r.Baton = h.Tally, h.Baton
+	r.Tally, r.Token = h.Tally, h.Token
 	m.newest, m.heard, m.shows = &r, c.now, 0
 	if c.ready {
 		c.confirm(m)
@@ -203,19 +203,19 @@
 	if asked < c.hearing {
 		return // it was us
 	}
-	if m.unanswered == 0 || m.deafSince < c.hearing {
-		m.deafSince, m.unanswered = asked, 0
+	if m.unanswered == 0 || m.unreachableSince < c.hearing {
+		m.unreachableSince, m.unanswered = asked, 0
 	}
 	m.unanswered++
 }
 
-// deaf reports whether a machine seems not to hear what it is told: it gets
+// unreachable reports whether a machine seems not to hear what it is told: it gets
 // no new work.
-func (m *machine) deaf() bool { return m.unanswered >= deafCalls }
+func (m *machine) unreachable() bool { return m.unanswered >= unreachableCalls }
 
-// deafCalls is how many direct calls in a row a machine may leave unanswered
+// unreachableCalls is how many direct calls in a row a machine may leave unanswered
 // before it counts as one that does not hear.
-const deafCalls = 2
+const unreachableCalls = 2
 
 // answered takes a worker's own answer to /do or /show.
 func (c *Core) answered(m *machine, a Answered) {
@@ -223,16 +223,16 @@
 		return
 	}
 	c.hear(a.Report, true)
-	if a.Report.Baton > c.baton {
+	if a.Report.Token > c.token {
 		c.barrier(func(bool) {})
 	}
 }
 
-// deaf reports whether this controller reaches no workers, though there are some
+// isolated reports whether this controller reaches no workers, though there are some
 // that are up: where machines were only just rented, or none comes up, nobody hears
 // any, and if all took that for their own fault nobody would rent others.
-func (c *Core) deaf() bool {
-	return c.ready && c.up > 0 && c.now.Sub(max(c.lastDirect, c.readyAt, c.awake)) > deafAfter
+func (c *Core) isolated() bool {
+	return c.ready && c.up > 0 && c.now.Sub(max(c.lastDirect, c.readyAt, c.awake)) > isolatedAfter
 }
 
 // inDoubt reports whether no worker has spoken to this controller for a moment,
@@ -242,11 +242,11 @@
 func (c *Core) inDoubt() bool { return c.now.Sub(max(c.lastDirect, c.readyAt, c.awake)) > doubtAfter }
 
 const (
-	soundAfter = 500 * time.Millisecond
-	soundEvery = 300 * time.Millisecond
-	soundKnown = 4 // machines heard last, of which one is asked
-	doubtAfter = 1500 * time.Millisecond
-	deafAfter  = 3 * time.Second
+	soundAfter    = 500 * time.Millisecond
+	soundEvery    = 300 * time.Millisecond
+	soundKnown    = 4 // machines heard last, of which one is asked
+	doubtAfter    = 1500 * time.Millisecond
+	isolatedAfter = 3 * time.Second
 )
 
 // sound asks some worker for its report when none has spoken to us for a while:
--- a/internal/core/index.go
+++ b/internal/core/index.go
@@ -185,10 +185,10 @@
 	if m == nil || m.newest == nil || m.gone || m.recallAt != 0 || m.status == wire.MachineFailed {
 		return false
 	}
-	if _, going := c.dooms[m.id]; going {
+	if _, going := c.leaving[m.id]; going {
 		return false
 	}
-	if m.deaf() && !c.unheard {
+	if m.unreachable() && !c.unheard {
 		return false
 	}
 	return c.reports(m) && slices.Contains(c.set.Cluster.Zones, m.zone)
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -68,8 +68,8 @@
 			switch {
 			case t == nil:
 				// Only the recorded launcher launches, and after a take-over only
-				// when the worker has seen the baton that fences off the one before.
-				if j == nil || e.Halt != HaltNo || e.Launcher != c.boot || r.Baton < e.Fence {
+				// when the worker has seen the token that fences off the one before.
+				if j == nil || e.Halt != HaltNo || e.Launcher != c.boot || r.Token < e.Fence {
 					continue
 				}
 				// A launch while it may have been withdrawn unknown to us would start it
@@ -100,8 +100,8 @@
 
 // clears says which ended tasks a machine may forget. A cleared attempt would
 // start again if a launch of it were still under way, so first its entry must
-// be gone from the records, then the baton raised, and then the worker must
-// have seen that baton: no launch sent before can pass it, and no controller
+// be gone from the records, then the token raised, and then the worker must
+// have seen that token: no launch sent before can pass it, and no controller
 // that knows it sends one.
 func (c *Core) clears(m *machine) []wire.Order {
 	var orders []wire.Order
@@ -139,7 +139,7 @@
 			m.uncleared[key] = without
 			fresh = append(fresh, key)
 		}
-		if c.batonStamp > without && m.newest.Baton >= c.baton && len(orders) < maxOrders {
+		if c.tokenStamp > without && m.newest.Token >= c.token && len(orders) < maxOrders {
 			orders = append(orders, wire.Order{Verb: wire.VerbClear, Task: t.Task, Attempt: t.Attempt})
 		}
 	}
@@ -159,7 +159,7 @@
 	return orders
 }
 
-// notYet is a revision that no baton is ever newer than.
+// notYet is a revision that no token is ever newer than.
 const notYet = ^wire.Ledger(0)
 
 // noteGone notes, after a barrier, that ended attempts have no entry. Without
@@ -191,11 +191,11 @@
 	if m.pushing || m.newest == nil || m.gone || !c.after(m.pushAt) || !c.ready {
 		return false
 	}
-	baton := c.baton
+	token := c.token
 	var orders []wire.Order
-	if m.newest.Baton > c.baton {
+	if m.newest.Token > c.token {
 		c.barrier(func(bool) {})
-		// While the state service is away we cannot learn of that baton. To stop what
+		// While the state service is away we cannot learn of that token. To stop what
 		// is over is right whatever was written before it, so that much may be said
 		// in its name.
 		if c.stateFresh() {
@@ -204,7 +204,7 @@
 		if orders = c.stopsOf(m); len(orders) == 0 {
 			return false
 		}
-		baton = m.newest.Baton
+		token = m.newest.Token
 	}
 	if m.settled == m.newest {
 		return false
@@ -223,7 +223,7 @@
 		return false
 	}
 	if fenced {
-		orders = []wire.Order{} // only to be shown the baton
+		orders = []wire.Order{} // only to be shown the token
 	}
 	m.pushing = true
 	c.pushing++
@@ -238,16 +238,16 @@
 			c.pushNow(m)
 		}
 		c.pushHeld()
-	}), m.addr, wire.DoRequest{Baton: baton, Shift: m.newest.Shift, Orders: orders}})
+	}), m.addr, wire.DoRequest{Token: token, Shift: m.newest.Shift, Orders: orders}})
 	return true
 }
 
-// unfenced reports whether a machine has not seen the baton that something on
+// unfenced reports whether a machine has not seen the token that something on
 // it waits for: until its next report, which may be far off, nothing else would
 // show it.
 func (c *Core) unfenced(m *machine) bool {
 	for _, e := range m.entries {
-		if e.Shift == m.newest.Shift && e.Fence > m.newest.Baton && e.Fence <= c.baton && (e.Launcher == c.boot || c.mine(e.page.team)) {
+		if e.Shift == m.newest.Shift && e.Fence > m.newest.Token && e.Fence <= c.token && (e.Launcher == c.boot || c.mine(e.page.team)) {
 			return true
 		}
 	}
@@ -273,14 +273,14 @@
 	}
 }
 
-// raiseBaton makes a fence so that ended tasks can be cleared.
-func (c *Core) raiseBaton() {
+// raiseToken makes a fence so that ended tasks can be cleared.
+func (c *Core) raiseToken() {
 	if !c.after(c.lastBump.Add(10 * time.Second)) {
 		return
 	}
 	c.lastBump = c.now
 	c.commit(ClassRest, wire.Transaction{
-		If:   []wire.Condition{{Key: batonKey, Stamp: c.ver[batonKey]}},
-		Then: []wire.Change{put(batonKey, c.baton+1)},
+		If:   []wire.Condition{{Key: tokenKey, Stamp: c.ver[tokenKey]}},
+		Then: []wire.Change{put(tokenKey, c.token+1)},
 	}, func(Committed) { c.barrier(func(bool) {}) })
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -376,7 +376,7 @@
 // its team's steward.
 func (c *Core) places(j *job) bool {
 	if c.now.Sub(j.seen) < firstTime && c.live(j.by) {
-		return j.by == c.boot && !c.deaf()
+		return j.by == c.boot && !c.isolated()
 	}
 	return c.mine(j.spec.Team)
 }
--- a/internal/core/proofs.go
+++ b/internal/core/proofs.go
@@ -73,7 +73,7 @@
 		switch {
 		case j == nil || e.Halt != HaltNo:
 			if e.Halt != HaltNo && e.Fence > 0 {
-				if rep.Baton >= e.Fence {
+				if rep.Token >= e.Fence {
 					gone = gone.With(lacking)
 				}
 				break
@@ -84,7 +84,7 @@
 					d.Halt = HaltAtOnce
 				}
 			})
-		case !c.live(e.Launcher) || e.Launcher != c.boot && (c.deafBoot(e.Launcher) || c.lacked(m, e)):
+		case !c.live(e.Launcher) || e.Launcher != c.boot && (c.isolatedBoot(e.Launcher) || c.lacked(m, e)):
 			// Its launcher is gone, or lives but does not reach this worker: take
 			// over, with a fence so that a launch it sent is dead or in the next
 			// report.
@@ -136,18 +136,18 @@
 // the controller that hears the worker takes over.
 const launchPatience = 3 * time.Second
 
-// fence changes an entry and raises the baton in the same write.
+// fence changes an entry and raises the token in the same write.
 func (c *Core) fence(r *round, p *page, e *Entry, change func(*Entry)) {
 	d := c.draft(r, p)
 	for i := range d.entries {
 		if x := &d.entries[i]; sameEntry(x, e) {
 			change(x)
-			x.Fence = c.baton + 1
+			x.Fence = c.token + 1
 			c.count(countFences, 1)
 			if !r.bump {
 				r.bump = true
 				r.ops++
-				r.conds[batonKey] = c.ver[batonKey]
+				r.conds[tokenKey] = c.ver[tokenKey]
 			}
 			r.tell[e.Machine] = true
 		}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -16,14 +16,14 @@
 // carries all of it.
 const (
 	rootKey     = "l/"
-	batonKey    = "l/baton"
+	tokenKey    = "l/baton"
 	buyerKey    = "l/buyer"
 	settingsKey = "l/settings"
 	nodePrefix  = "l/n/" // + label: the controllers that are alive
 	jobPrefix   = "l/j/" // + job: jobs that are not over, and how the latest ended
 	finalPrefix = "l/f/" // + job: how older ones ended, for ever
 	pagePrefix  = "l/p/" // + team/zone/page: placement records
-	doomKey     = "l/m"  // the machines about to be returned
+	returnsKey  = "l/m"  // the machines about to be returned
 	imagePrefix = "l/i/" // + number: images that machines were seen to have
 )
 
@@ -43,9 +43,9 @@
 
 // nodeRecord says that a controller is alive; it hangs on its lease.
 type nodeRecord struct {
-	Boot wire.Baton `json:"boot"`
-	// Deaf says that it reaches no workers, so that it should steward no team.
-	Deaf bool `json:"deaf,omitempty"`
+	Boot wire.FencingToken `json:"boot"`
+	// Isolated says that it reaches no workers, so that it should steward no team.
+	Isolated bool `json:"deaf,omitempty"`
 }
 
 // jobRecord is a job that is not over.
@@ -54,7 +54,7 @@
 	// At is when the job was accepted, in Unix milliseconds.
 	At int64 `json:"at"`
 	// By is the boot of the controller that accepted it and places it first.
-	By wire.Baton `json:"by"`
+	By wire.FencingToken `json:"by"`
 	// Over, if set, is how it ended, and all that is left of it.
 	Over *finalRecord `json:"over,omitempty"`
 }
@@ -72,12 +72,12 @@
 	Done   int         `json:"done"`
 }
 
-// doomRecord is all machines that are about to be returned, by why, and those
+// returnsRecord is all machines that are about to be returned, by why, and those
 // that the cloud has confirmed to be gone while something still stands on them:
 // whoever reads that may take it as proof. One that leaves Going without being
 // Gone was kept after all. One record for all of them costs one write however
 // many go at once, and gives placements one version to demand.
-type doomRecord struct {
+type returnsRecord struct {
 	Going map[string][]wire.MachineID `json:"going,omitempty"`
 	Gone  []wire.MachineID            `json:"gone,omitempty"`
 }
@@ -110,12 +110,12 @@
 	Job     wire.JobID   `json:"j"`
 	Attempt wire.Attempt `json:"a"`
 	// Launcher is the boot of the only controller that may send the launch.
-	Launcher wire.Baton `json:"l"`
-	// Fence, if not 0, is the baton that the machine must have seen before the
+	Launcher wire.FencingToken `json:"l"`
+	// Fence, if not 0, is the token that the machine must have seen before the
 	// launch may be sent or, with Halt, before a report that lacks a task
 	// proves that it is gone.
-	Fence wire.Baton `json:"f,omitempty"`
-	Halt  Halt       `json:"s,omitempty"`
+	Fence wire.FencingToken `json:"f,omitempty"`
+	Halt  Halt              `json:"s,omitempty"`
 
 	Cores        float64    `json:"c,omitempty"`
 	Accelerators float64    `json:"g,omitempty"`
--- a/internal/core/returning.go
+++ b/internal/core/returning.go
@@ -28,7 +28,7 @@
 	bySilent, byHeard, lastHeard := map[string]int{}, map[string]int{}, map[string]Time{}
 	for id, m := range c.machines {
 		// What we return ourselves falls silent, which says nothing about us.
-		if _, going := c.dooms[id]; m.newest != nil && !m.left() && !going {
+		if _, going := c.leaving[id]; m.newest != nil && !m.left() && !going {
 			reporting++
 			lastHeard[m.zone] = max(lastHeard[m.zone], m.heard)
 			// Reports may be further apart than that: only what was asked and did
@@ -62,12 +62,12 @@
 		c.inDoubt() && (silent < reporting || !c.siblingsWell())
 	for _, m := range c.inOrder() {
 		id := m.id
-		if _, going := c.dooms[id]; m.gone && len(m.entries) > 0 && !going && c.dooming[id] == "" && !slices.Contains(c.doom.Gone, id) {
+		if _, going := c.leaving[id]; m.gone && len(m.entries) > 0 && !going && c.toReturn[id] == "" && !slices.Contains(c.returns.Gone, id) {
 			// It was returned while that could not be written down. Others have to learn
 			// that what stood on it is gone.
-			c.toDoom(m, whyEnded)
+			c.markReturn(m, whyEnded)
 			continue
-		} else if m.gone || m.left() && len(m.entries) == 0 || c.dooming[id] != "" || going {
+		} else if m.gone || m.left() && len(m.entries) == 0 || c.toReturn[id] != "" || going {
 			continue
 		}
 		quiet := c.now.Sub(c.lastSign(m))
@@ -79,31 +79,31 @@
 		}
 		switch {
 		case m.status == wire.MachineFailed:
-			c.toDoom(m, "failed")
+			c.markReturn(m, "failed")
 		case m.newest == nil && m.status != wire.MachineRunning && !busy:
 			if c.neverCame(m) {
-				c.toDoom(m, "never came up")
+				c.markReturn(m, "never came up")
 			}
-		case c.holdsEnded(id, c.overPatience(cutOff)) && m.unanswered >= deafCalls:
+		case c.holdsEnded(id, c.overPatience(cutOff)) && m.unanswered >= unreachableCalls:
 			// Tasks of jobs that are over must be gone in time, and it cannot be
 			// told: whatever the bounds, it goes.
-			c.toDoom(m, whyEnded)
+			c.markReturn(m, whyEnded)
 		case quiet > c.lenience(m, silence) && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
 			if c.mayGiveUp(m, reporting) {
-				c.toDoom(m, "silent")
+				c.markReturn(m, "silent")
 			}
-		case m.deaf() && m.heard > m.deafSince && c.reports(m) && !c.unheard && !cutOff &&
-			c.now.Sub(m.deafSince) > config.Seconds(c.set.Cluster.Workers.LeaseS/2):
+		case m.unreachable() && m.heard > m.unreachableSince && c.reports(m) && !c.unheard && !cutOff &&
+			c.now.Sub(m.unreachableSince) > config.Seconds(c.set.Cluster.Workers.LeaseS/2):
 			// Its reports come, but it hears nothing: its lease runs out unseen. One
 			// whose reports do not come either is silent, and may be in a zone that is
 			// cut off: once all machines of such a zone went this way, and later one of
 			// which a report had come just after the first call that the cut swallowed.
 			if c.mayGiveUp(m, reporting) {
-				c.toDoom(m, "unreachable")
+				c.markReturn(m, "unreachable")
 			}
 		case m.idleSince != 0 && c.now.Sub(m.idleSince) > idle && c.lacking == 0 &&
 			(len(c.backlog) == 0 || c.tooDear(m) || c.now.Sub(m.idleSince) > 2*idle): // what waits cannot use it
-			c.toDoom(m, whyIdle)
+			c.markReturn(m, whyIdle)
 		}
 	}
 }
@@ -196,28 +196,28 @@
 	return true
 }
 
-// toDoom notes that a machine is to be returned; it is written down with the
+// markReturn notes that a machine is to be returned; it is written down with the
 // others of the moment.
-func (c *Core) toDoom(m *machine, why string) {
-	c.dooming[m.id] = why
+func (c *Core) markReturn(m *machine, why string) {
+	c.toReturn[m.id] = why
 	c.log.Info("machine to be returned", "machine", m.id, "why", why, "quiet", c.now.Sub(c.lastSign(m)), "unanswered", m.unanswered)
 }
 
-// writeDoom writes down which machines are going and which are gone. Placements
+// writeReturns writes down which machines are going and which are gone. Placements
 // demand that this record is as they saw it, so none can slip in unseen.
-func (c *Core) writeDoom() {
-	if c.doomCall || !c.after(c.nextDoom) {
+func (c *Core) writeReturns() {
+	if c.returnsCall || !c.after(c.nextReturns) {
 		return
 	}
-	next := doomRecord{Going: map[string][]wire.MachineID{}}
-	changed := len(c.dooming) > 0
+	next := returnsRecord{Going: map[string][]wire.MachineID{}}
+	changed := len(c.toReturn) > 0
 	room := c.pageLimit() - len(`{"going":{},"gone":[]}`)
 	keep := func(list []wire.MachineID, id wire.MachineID) []wire.MachineID {
 		room -= len(id) + len(`"",`)
 		return append(list, id)
 	}
-	for _, id := range sortedKeys(c.dooms) {
-		d := c.dooms[id]
+	for _, id := range sortedKeys(c.leaving) {
+		d := c.leaving[id]
 		switch m := c.machineOf(id); {
 		case m.gone:
 			changed = true
@@ -230,7 +230,7 @@
 			next.Going[d.why] = keep(next.Going[d.why], id)
 		}
 	}
-	for _, id := range c.doom.Gone {
+	for _, id := range c.returns.Gone {
 		if len(c.machineOf(id).entries) == 0 {
 			changed = true
 		} else {
@@ -240,9 +240,9 @@
 	if !changed {
 		return
 	}
-	taken := make([]wire.MachineID, 0, len(c.dooming))
-	for _, id := range sortedKeys(c.dooming) {
-		why := c.dooming[id]
+	taken := make([]wire.MachineID, 0, len(c.toReturn))
+	for _, id := range sortedKeys(c.toReturn) {
+		why := c.toReturn[id]
 		if next.Going[why] == nil {
 			room -= len(why) + len(`"":[],`)
 		}
@@ -251,17 +251,17 @@
 			taken = append(taken, id)
 		}
 	}
-	c.doomCall = true
-	c.nextDoom = c.now.Add(doomEvery)
+	c.returnsCall = true
+	c.nextReturns = c.now.Add(returnsEvery)
 	// One write for all that goes, which replicas wait for: ahead of submissions.
 	c.commit(ClassUrgent, wire.Transaction{
-		If:   []wire.Condition{{Key: doomKey, Stamp: c.ver[doomKey]}},
-		Then: []wire.Change{put(doomKey, next)},
+		If:   []wire.Condition{{Key: returnsKey, Stamp: c.ver[returnsKey]}},
+		Then: []wire.Change{put(returnsKey, next)},
 	}, func(r Committed) {
-		c.doomCall = false
+		c.returnsCall = false
 		if r.Outcome != NotDone {
 			for _, id := range taken {
-				delete(c.dooming, id)
+				delete(c.toReturn, id)
 			}
 		}
 		if r.Outcome != Done {
@@ -270,15 +270,15 @@
 	})
 }
 
-// giveBack returns doomed machines. The cloud's 200 means that they and all on
+// giveBack returns leavingEntry machines. The cloud's 200 means that they and all on
 // them are gone; only then do their tasks leave the records.
 func (c *Core) giveBack() {
 	if c.returning {
 		return
 	}
 	var names []wire.MachineID
-	for _, id := range sortedKeys(c.dooms) {
-		d := c.dooms[id]
+	for _, id := range sortedKeys(c.leaving) {
+		d := c.leaving[id]
 		if m := c.machineOf(id); m.gone || d.since > c.feed || len(names) == wire.MaxReturn ||
 			d.why == whyIdle && len(c.machineOf(id).entries) > 0 && !c.returned[id] {
 			continue
@@ -300,7 +300,7 @@
 			m := c.machineOf(id)
 			m.gone, m.goneAt, c.dirty = true, c.now, true
 			m.lookAgain()
-			c.count(countReturned+c.dooms[id].why, 1)
+			c.count(countReturned+c.leaving[id].why, 1)
 			delete(c.returned, id)
 		}
 	}), names})
--- a/internal/core/rounds.go
+++ b/internal/core/rounds.go
@@ -59,7 +59,7 @@
 
 // fits reports whether the round may still take on more changes. What a round
 // demands does not grow with its team: the heads of its zones, the pages that
-// it writes, its jobs, the baton and the list of machines to be returned.
+// it writes, its jobs, the token and the list of machines to be returned.
 func (c *Core) fits(r *round, ops int) bool {
 	limits := &c.set.Cluster.State
 	conds := len(r.conds) + len(r.pages) + len(c.set.Cluster.Zones) + 4
@@ -92,7 +92,7 @@
 		txn.Then = append(txn.Then, put(jobKey(id), overRecord{finalRecord{Status: wire.StatusDone, Done: c.jobs[id].spec.Tasks}}))
 	}
 	if r.bump {
-		txn.Then = append(txn.Then, put(batonKey, c.baton+1))
+		txn.Then = append(txn.Then, put(tokenKey, c.token+1))
 	}
 	if len(txn.Then) == 0 {
 		return
@@ -112,7 +112,7 @@
 				r.conds[key] = 0
 			}
 		}
-		r.conds[doomKey] = c.ver[doomKey]
+		r.conds[returnsKey] = c.ver[returnsKey]
 	}
 	for _, key := range sortedKeys(r.conds) {
 		txn.If = append(txn.If, wire.Condition{Key: key, Stamp: r.conds[key]})
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -17,7 +17,7 @@
 	behind          bool // the state service was away, and what changed meanwhile is not known yet
 	catching        bool
 
-	boot    wire.Baton // the baton this process raised when it started
+	boot    wire.FencingToken // the token this process raised when it started
 	joining bool
 	ready   bool
 	readyAt Time
@@ -63,7 +63,7 @@
 	}
 	c.keepStep()
 	c.openBarrier()
-	if c.enrolled && (c.nodes[c.set.Label] != c.boot || c.deafNodes[c.set.Label] != c.deaf()) {
+	if c.enrolled && (c.nodes[c.set.Label] != c.boot || c.isolatedNodes[c.set.Label] != c.isolated()) {
 		// A late copy of an earlier enrolment may hang the record on a lease that
 		// has since run out; or others should know that we no longer hear workers.
 		c.enrolled = false
@@ -71,7 +71,7 @@
 	if c.whole() && c.permit != 0 && !c.enrolled && !c.joining && c.after(c.nextTry) {
 		c.join()
 	}
-	if !c.ready && c.boot != 0 && c.baton >= c.boot {
+	if !c.ready && c.boot != 0 && c.token >= c.boot {
 		c.ready, c.readyAt = true, c.now
 		c.log.Info("ready", "boot", c.boot, "ledger", c.feed, "jobs", len(c.jobs))
 	}
@@ -105,7 +105,7 @@
 }
 
 // join lists this controller among the living. The first time it also raises
-// the baton: whatever an earlier process of any name sent is fenced off from
+// the token: whatever an earlier process of any name sent is fenced off from
 // every worker that has seen it, and the number names this process's hires
 // and attempts.
 func (c *Core) join() {
@@ -113,11 +113,11 @@
 	boot := c.boot
 	var txn wire.Transaction
 	if boot == 0 {
-		boot = c.baton + 1
-		txn.If = []wire.Condition{{Key: batonKey, Stamp: c.ver[batonKey]}}
-		txn.Then = []wire.Change{put(batonKey, boot)}
+		boot = c.token + 1
+		txn.If = []wire.Condition{{Key: tokenKey, Stamp: c.ver[tokenKey]}}
+		txn.Then = []wire.Change{put(tokenKey, boot)}
 	}
-	node := put(nodeKey(c.set.Label), nodeRecord{Boot: boot, Deaf: c.deaf()})
+	node := put(nodeKey(c.set.Label), nodeRecord{Boot: boot, Isolated: c.isolated()})
 	node.Permit = c.permit
 	txn.Then = append(txn.Then, node)
 	permit := c.permit
@@ -137,13 +137,13 @@
 		default:
 			c.nextTry = c.now.Add(retryState)
 		}
-		// The baton is adopted from the feed.
+		// The token is adopted from the feed.
 		c.barrier(func(bool) {})
 	})
 }
 
 // live reports whether the process with this boot is known to be alive.
-func (c *Core) live(boot wire.Baton) bool {
+func (c *Core) live(boot wire.FencingToken) bool {
 	if boot == c.boot {
 		return true
 	}
@@ -155,12 +155,12 @@
 	return false
 }
 
-// deafBoot reports whether the process with this boot reaches no workers, by its
+// isolatedBoot reports whether the process with this boot reaches no workers, by its
 // own word.
-func (c *Core) deafBoot(boot wire.Baton) bool {
+func (c *Core) isolatedBoot(boot wire.FencingToken) bool {
 	for label, b := range c.nodes {
 		if b == boot {
-			return c.deafNodes[label]
+			return c.isolatedNodes[label]
 		}
 	}
 	return false
@@ -232,7 +232,7 @@
 		if c.nodes[label] == c.buyer {
 			weight[label]++
 		}
-		if !c.deafNodes[label] {
+		if !c.isolatedNodes[label] {
 			labels = append(labels, label)
 		}
 	}
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -20,25 +20,25 @@
 	ver     map[string]wire.Ledger // stamps of cached keys, and of dropped ones until the feed is past them
 	dropped map[string]wire.Ledger
 
-	// baton is adopted from the feed only. So a command that carries it is
-	// based on everything written before the baton was raised: that is what
-	// makes a raised baton a fence.
-	baton      wire.Baton
-	batonStamp wire.Ledger
+	// token is adopted from the feed only. So a command that carries it is
+	// based on everything written before the token was raised: that is what
+	// makes a raised token a fence.
+	token      wire.FencingToken
+	tokenStamp wire.Ledger
 
-	jobs      map[wire.JobID]*job
-	finals    map[wire.JobID]finalRecord // of jobs whose final states have keys of their own: a cache
-	over      map[wire.JobID]finalRecord // of jobs in whose records they stand: all of them
-	filing    bool
-	nextFile  Time
-	teams     map[string]*team
-	nodes     map[string]wire.Baton
-	deafNodes map[string]bool
-	doom      doomRecord
-	dooms     map[wire.MachineID]doomed // the machines that are going
-	buyer     wire.Baton
-	stateOK   Time
-	watching  bool
+	jobs          map[wire.JobID]*job
+	finals        map[wire.JobID]finalRecord // of jobs whose final states have keys of their own: a cache
+	over          map[wire.JobID]finalRecord // of jobs in whose records they stand: all of them
+	filing        bool
+	nextFile      Time
+	teams         map[string]*team
+	nodes         map[string]wire.FencingToken
+	isolatedNodes map[string]bool
+	returns       returnsRecord
+	leaving       map[wire.MachineID]leavingEntry // the machines that are going
+	buyer         wire.FencingToken
+	stateOK       Time
+	watching      bool
 
 	barrierOpen bool
 	barrierFrom Time            // not before, so that users who ask do not use up the tokens
@@ -53,7 +53,7 @@
 	id    wire.JobID
 	spec  wire.JobSpec
 	at    int64
-	by    wire.Baton
+	by    wire.FencingToken
 	stamp wire.Ledger
 	done  TaskSet
 	req   *placement.Request
@@ -68,8 +68,8 @@
 	launchFrom Time
 }
 
-// doomed says why a machine is going, and since which revision that stands.
-type doomed struct {
+// leavingEntry says why a machine is going, and since which revision that stands.
+type leavingEntry struct {
 	why   string
 	since wire.Ledger
 }
@@ -93,9 +93,9 @@
 	s.finals = map[wire.JobID]finalRecord{}
 	s.over = map[wire.JobID]finalRecord{}
 	s.teams = map[string]*team{}
-	s.nodes = map[string]wire.Baton{}
-	s.deafNodes = map[string]bool{}
-	s.doom, s.dooms = doomRecord{}, map[wire.MachineID]doomed{}
+	s.nodes = map[string]wire.FencingToken{}
+	s.isolatedNodes = map[string]bool{}
+	s.returns, s.leaving = returnsRecord{}, map[wire.MachineID]leavingEntry{}
 }
 
 func (s *store) teamOf(name string) *team {
@@ -128,13 +128,13 @@
 	}
 	var err error
 	switch {
-	case key == batonKey:
-		var n wire.Baton
+	case key == tokenKey:
+		var n wire.FencingToken
 		if value != nil {
 			err = json.Unmarshal(value, &n)
 		}
-		if err == nil && n > c.baton {
-			c.baton, c.batonStamp = n, stamp
+		if err == nil && n > c.token {
+			c.token, c.tokenStamp = n, stamp
 		}
 	case key == buyerKey:
 		c.buyer = 0
@@ -148,12 +148,12 @@
 		label := strings.TrimPrefix(key, nodePrefix)
 		if value == nil {
 			delete(c.nodes, label)
-			delete(c.deafNodes, label)
+			delete(c.isolatedNodes, label)
 		} else {
 			var n nodeRecord
 			if err = json.Unmarshal(value, &n); err == nil {
 				c.nodes[label] = n.Boot
-				c.deafNodes[label] = n.Deaf
+				c.isolatedNodes[label] = n.Isolated
 			}
 		}
 		c.assign()
@@ -163,8 +163,8 @@
 		err = c.applyPage(key, value, stamp)
 	case strings.HasPrefix(key, imagePrefix):
 		err = c.applyImages(strings.TrimPrefix(key, imagePrefix), value)
-	case key == doomKey:
-		err = c.applyDoom(value, stamp)
+	case key == returnsKey:
+		err = c.applyReturns(value, stamp)
 	}
 	if err != nil {
 		c.log.Error("record in the state service not understood", "key", key, "err", err)
@@ -267,27 +267,27 @@
 	return out
 }
 
-// applyDoom takes the list of machines about to be returned and of those that
+// applyReturns takes the list of machines about to be returned and of those that
 // are gone.
-func (c *Core) applyDoom(value json.RawMessage, stamp wire.Ledger) error {
-	var d doomRecord
+func (c *Core) applyReturns(value json.RawMessage, stamp wire.Ledger) error {
+	var d returnsRecord
 	if value != nil {
 		if err := json.Unmarshal(value, &d); err != nil {
 			return err
 		}
 	}
-	dooms := map[wire.MachineID]doomed{}
+	leaving := map[wire.MachineID]leavingEntry{}
 	for why, names := range d.Going {
 		for _, id := range names {
 			since := stamp
-			if old, ok := c.dooms[id]; ok {
+			if old, ok := c.leaving[id]; ok {
 				since = old.since
 			}
-			dooms[id] = doomed{why, since}
+			leaving[id] = leavingEntry{why, since}
 		}
 	}
-	for id := range c.dooms {
-		if m := c.machines[id]; m != nil && dooms[id].why == "" {
+	for id := range c.leaving {
+		if m := c.machines[id]; m != nil && leaving[id].why == "" {
 			m.leftAt = c.now
 		}
 	}
@@ -299,7 +299,7 @@
 			c.lostSome, c.urgent = true, true
 		}
 	}
-	c.doom, c.dooms, c.dirty = d, dooms, true
+	c.returns, c.leaving, c.dirty = d, leaving, true
 	return nil
 }
 
@@ -446,7 +446,7 @@
 }
 
 // commit runs a transaction and takes its changes into the cache when it went
-// through. The baton comes by the feed alone (see store.baton).
+// through. The token comes by the feed alone (see store.token).
 func (c *Core) commit(class Class, txn wire.Transaction, then func(Committed)) {
 	c.commitKnown(class, txn, "", then)
 }
@@ -468,7 +468,7 @@
 			c.written = max(c.written, r.Ledger)
 			for _, ch := range txn.Then {
 				switch {
-				case ch.Put == batonKey || known != "" && strings.HasPrefix(ch.Put, known):
+				case ch.Put == tokenKey || known != "" && strings.HasPrefix(ch.Put, known):
 				case ch.Put != "":
 					c.apply(ch.Put, ch.Value, r.Ledger)
 				default:
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -171,6 +171,7 @@
 		return "apart in a single zone"
 	}
 	req := placement.NewRequest(j)
+	fits := map[string]bool{} // the zones with machines that a task fits
 	for i := range c.catalogue {
 		m := &c.catalogue[i]
 		if !amountOf(m).Covers(req.Need) {
@@ -179,11 +180,17 @@
 		for _, zone := range m.Zones {
 			h := &placement.Host{Labels: labels(m.Name, zone, false)}
 			if (placement.Fleet{h}).Holds(req.Enforced, j.Team, h) {
-				return ""
+				fits[zone] = true
 			}
 		}
 	}
-	return "a task fits no allowed machine type"
+	switch {
+	case len(fits) == 0:
+		return "a task fits no allowed machine type"
+	case len(fits) == 1 && j.Apart && j.Tasks > 1 && j.Shape != wire.ShapeArray:
+		return "apart, but only one zone has machines that a task fits"
+	}
+	return ""
 }
 
 func finalStatus(id wire.JobID, f finalRecord) wire.JobStatus {
--- a/internal/core/vouching.go
+++ b/internal/core/vouching.go
@@ -238,7 +238,7 @@
 		}
 		for i := range e.Tasks.All {
 			switch t := m.tasks[e.key(i)]; {
-			case t == nil && (e.Halt == HaltNo || e.Fence == 0 || m.newest.Baton < e.Fence):
+			case t == nil && (e.Halt == HaltNo || e.Fence == 0 || m.newest.Token < e.Fence):
 				open, lacking = true, true
 			case t != nil && t.State != wire.TaskExited:
 				open = true
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -15,11 +15,11 @@
 		c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "starting"}})
 		return
 	}
-	if r.Baton > c.baton {
-		// Somebody raised the baton; until we know everything that was written
+	if r.Token > c.token {
+		// Somebody raised the token; until we know everything that was written
 		// before, we are not entitled to command this worker.
 		c.barrier(func(bool) {
-			if r.Baton > c.baton {
+			if r.Token > c.token {
 				c.sendAway(in.Request)
 				return
 			}
@@ -30,7 +30,7 @@
 	c.helloKnown(in)
 }
 
-// helloKnown answers a worker that has seen no baton which is not known here.
+// helloKnown answers a worker that has seen no token which is not known here.
 func (c *Core) helloKnown(in Reported) {
 	r := in.Report
 	if !c.mayRenew() || c.mayStillStart(c.machineOf(r.Machine)) {
@@ -101,5 +101,5 @@
 	} else {
 		orders = c.stopsOf(m) // the answer may renew the lease all the same
 	}
-	c.reply(in.Request, http.StatusOK, wire.ReportAnswer{Baton: c.baton, Orders: orders})
+	c.reply(in.Request, http.StatusOK, wire.ReportAnswer{Token: c.token, Orders: orders})
 }
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -16,9 +16,9 @@
 	state   wire.TaskState
 	cause   wire.Cause
 	stored  bool
-	on      bool       // has its image and has not exited: counts for the rules
-	baton   wire.Baton // under which it was launched
-	epoch   int        // stale timers are told by it
+	on      bool              // has its image and has not exited: counts for the rules
+	token   wire.FencingToken // under which it was launched
+	epoch   int               // stale timers are told by it
 }
 
 type taskKey struct {
@@ -44,7 +44,7 @@
 
 	shift    wire.Shift
 	tally    wire.Tally
-	baton    wire.Baton
+	token    wire.FencingToken
 	tasks    map[taskKey]*task
 	answered core.Time // when the last answered report was sent
 	node     int
@@ -59,7 +59,7 @@
 func (m *machine) report() *wire.Report {
 	m.tally++
 	r := &wire.Report{Machine: m.id, Addr: string(m.id), Type: m.kind.Name, Zone: m.zone, Spot: m.spot,
-		Shift: m.shift, Tally: m.tally, Baton: m.baton}
+		Shift: m.shift, Tally: m.tally, Token: m.token}
 	if m.recall != 0 {
 		s := m.recall.Sub(m.w.now).Seconds()
 		r.RecallS = &s
@@ -169,10 +169,10 @@
 					m.nextNode()
 					return
 				}
-				if a.Baton < m.baton || m.shift != shift {
+				if a.Token < m.token || m.shift != shift {
 					return
 				}
-				m.baton = a.Baton
+				m.token = a.Token
 				m.answered = max(m.answered, sentAt)
 				m.obey(a.Orders)
 			})
@@ -183,10 +183,10 @@
 
 // do is POST /do.
 func (m *machine) do(body wire.DoRequest) core.Answered {
-	if body.Baton < m.baton || body.Shift != m.shift {
+	if body.Token < m.token || body.Shift != m.shift {
 		return core.Answered{Outcome: core.NotDone, Report: m.report()}
 	}
-	m.baton = body.Baton
+	m.token = body.Token
 	m.obey(body.Orders)
 	return core.Answered{Outcome: core.Done, Executed: true, Report: m.report()}
 }
@@ -208,7 +208,7 @@
 			if t != nil && t.state == wire.TaskExited {
 				// Another copy of the launch may be under way, and would start the
 				// task again.
-				if m.baton <= t.baton {
+				if m.token <= t.token {
 					m.w.breaks("unfenced clear of %v", t.id)
 				}
 				delete(m.tasks, key)
@@ -220,7 +220,7 @@
 func (m *machine) launch(o wire.Order) {
 	w := m.w
 	m.launched++
-	t := &task{id: o.Task, attempt: o.Attempt, state: wire.TaskPulling, baton: m.baton}
+	t := &task{id: o.Task, attempt: o.Attempt, state: wire.TaskPulling, token: m.token}
 	m.tasks[taskKey{o.Task, o.Attempt}] = t
 	j := w.jobs[o.Task.Job]
 	if j != nil {
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -298,6 +299,28 @@
 		w.At(20600*time.Millisecond, func() { w.outage(w.Cancel + 5*second) })
 		w.At(40*second, func() { w.HangAtCancel = 0 })
 	}},
+	{name: "odd requests while leaders change", seen: map[string]int{"refused for good": 20, "submitted again": 100, "cancelled when done": 100, "restart": 8}, play: func(w *World) {
+		w.types = append(slices.Clone(w.types), wire.MachineType{Name: "x2", Cores: 64, MemGB: 64, Rate: 3, MarketPrice: 1, StartupS: 5, Zones: zones[:1]})
+		steady(w, 60, 6)
+		for i := range 20 {
+			w.At(time.Duration(10+4*i)*second, w.oddRequests)
+			spec, _ := job(900+i, 0)
+			switch i % 4 {
+			case 0:
+				spec.Cores = 100
+			case 1:
+				spec.Types = []string{"none"}
+			case 2:
+				spec.Zone, spec.Types = zones[1], []string{"x2"}
+			case 3:
+				// Only one zone has machines that large.
+				spec.Shape, spec.Apart, spec.Tasks, spec.Cores, spec.Team = wire.ShapeService, true, 2, 9, "red"
+			}
+			w.At(time.Duration(5+3*i)*second, func() { w.SubmitImpossible(spec) })
+		}
+		w.At(20*second, func() { w.restartBuyer(3 * second) })
+		w.At(40*second, func() { w.restartBuyer(300 * time.Millisecond) })
+	}},
 	{name: "everything is read anew while users ask", seen: map[string]int{"read anew": 4, "close look": 500}, play: func(w *World) {
 		w.CloseLooks = true
 		steady(w, 60, 4)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -42,6 +42,48 @@
 	try()
 }
 
+// SubmitImpossible has a user submit a job that can never run: it must be refused for
+// good, and never be accepted.
+func (w *World) SubmitImpossible(spec wire.JobSpec) {
+	var try func()
+	try = func() {
+		w.ask(func(id core.RequestID) core.Input { return core.Submitted{Request: id, Spec: spec} }, func(r core.Reply, ok bool) {
+			switch {
+			case ok && r.Status == 422:
+				w.Seen["refused for good"]++
+			case ok && r.Status < 300:
+				w.breaks("accepted though it can never run: %s", spec.ID)
+			default:
+				w.after(max(time.Second, r.RetryAfter), try)
+			}
+		})
+	}
+	try()
+}
+
+// oddRequests has users call off jobs that are done, and repeat submissions of jobs
+// that are not.
+func (w *World) oddRequests() {
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		j := w.jobs[id]
+		switch {
+		case j.told == wire.StatusDone:
+			w.Seen["cancelled when done"]++
+			w.CancelJob(id)
+		case j.accepted && !j.told.Final():
+			w.Seen["submitted again"]++
+			asked := w.now
+			w.ask(func(r core.RequestID) core.Input { return core.Submitted{Request: r, Spec: j.spec} }, func(r core.Reply, ok bool) {
+				if s, good := r.Body.(wire.JobStatus); ok && good {
+					w.tell(j, asked, s.Status)
+				} else if ok && r.Status < 429 {
+					w.breaks("forgotten: repeat of %s got %d", id, r.Status)
+				}
+			})
+		}
+	}
+}
+
 // SubmitUneven is Submit for a job whose tasks run for different times.
 func (w *World) SubmitUneven(spec wire.JobSpec, runtime func(index int) time.Duration) {
 	w.jobs[spec.ID] = &userJob{spec: spec, uneven: runtime, complete: map[int]bool{}, asked: w.now}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -191,6 +191,13 @@
 	w := worldOf(set, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 3).Draw(t, "controllers"))
 	w.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.08}).Draw(t, "loss")
 	w.LateReports = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "late")
+	// What meets what: each is there on some days and not on others.
+	w.LateWrites = rapid.SampledFrom([]float64{0, 0, 0.2}).Draw(t, "late writes")
+	w.LateAtOnce = rapid.Bool().Draw(t, "at once")
+	w.KeepReports = rapid.SampledFrom([]float64{0, 0, 0.2}).Draw(t, "kept reports")
+	w.CancelAtEnd = rapid.SampledFrom([]float64{0, 0, 0.4}).Draw(t, "cancel at end")
+	w.HangAtCancel = rapid.SampledFrom([]time.Duration{0, 0, 8 * time.Second, 50 * time.Second}).Draw(t, "hang at cancel")
+	w.CloseLooks = rapid.SampledFrom([]bool{false, false, true}).Draw(t, "close looks")
 	for n := range rapid.IntRange(4, 24).Draw(t, "jobs") {
 		spec, run := job(n, rapid.IntRange(0, 7).Draw(t, "kind"))
 		at := time.Duration(rapid.IntRange(0, 60).Draw(t, "at")) * time.Second
@@ -216,7 +223,7 @@
 	}
 	w.At(30*time.Second, func() { w.AskUnknown("wk-999999") })
 	w.Run(130 * time.Second)
-	w.Loss = 0
+	w.Loss, w.LateWrites, w.KeepReports, w.HangAtCancel, w.CloseLooks, w.CancelAtEnd = 0, 0, 0, 0, false, 0
 	w.Run(50 * time.Second) // the last late copies and the last trouble
 	w.CalmAt = w.Now()
 	w.Run(250 * time.Second)
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -23,19 +23,19 @@
 
 // AdminController is one controller.
 type AdminController struct {
-	Label string `json:"label"`
-	Boot  Baton  `json:"boot"`
-	Alive bool   `json:"alive"`
-	Buyer bool   `json:"buyer"`
-	Self  bool   `json:"self"`
-	State bool   `json:"state_fresh"`
+	Label string       `json:"label"`
+	Boot  FencingToken `json:"boot"`
+	Alive bool         `json:"alive"`
+	Buyer bool         `json:"buyer"`
+	Self  bool         `json:"self"`
+	State bool         `json:"state_fresh"`
 	// Heard says that the controller that was asked hears it, Hears that it hears
-	// that one, and Deaf that it reaches no workers, by its own word.
-	Heard  bool   `json:"heard"`
-	Hears  bool   `json:"hears"`
-	Deaf   bool   `json:"deaf,omitempty"`
-	Ledger Ledger `json:"ledger,omitempty"`
-	Baton  Baton  `json:"baton,omitempty"`
+	// that one, and Isolated that it reaches no workers, by its own word.
+	Heard    bool         `json:"heard"`
+	Hears    bool         `json:"hears"`
+	Isolated bool         `json:"deaf,omitempty"`
+	Ledger   Ledger       `json:"ledger,omitempty"`
+	Token    FencingToken `json:"baton,omitempty"`
 	// Of the controller that was asked: for how long it has not been in step with
 	// the state service, the age of what it knows of withdrawals, by the service or
 	// by its siblings' word, and whether it answers workers on that ground.
--- a/wire/ids.go
+++ b/wire/ids.go
@@ -60,8 +60,8 @@
 // Attempt tells one start of a task from another.
 type Attempt uint64
 
-// Baton says who may command workers: the higher one wins.
-type Baton uint64
+// FencingToken says who may command workers: the higher one wins.
+type FencingToken uint64
 
 // Shift counts a worker's sessions.
 type Shift uint64
--- a/wire/services.go
+++ b/wire/services.go
@@ -172,8 +172,8 @@
 
 // Heard says that a machine reported, with nothing new but this.
 type Heard struct {
-	Machine MachineID `json:"m"`
-	Shift   Shift     `json:"s"`
-	Tally   Tally     `json:"t"`
-	Baton   Baton     `json:"b"`
+	Machine MachineID    `json:"m"`
+	Shift   Shift        `json:"s"`
+	Tally   Tally        `json:"t"`
+	Token   FencingToken `json:"b"`
 }
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -52,7 +52,7 @@
 	Spot    bool         `json:"loaners"`
 	Shift   Shift        `json:"shift"`
 	Tally   Tally        `json:"tally"`
-	Baton   Baton        `json:"baton"`
+	Token   FencingToken `json:"baton"`
 	RecallS *float64     `json:"recall_s,omitempty"`
 	Tasks   []TaskReport `json:"loads"`
 }
@@ -122,8 +122,8 @@
 
 // ReportAnswer answers /hello with 200.
 type ReportAnswer struct {
-	Baton  Baton   `json:"baton"`
-	Orders []Order `json:"orders"`
+	Token  FencingToken `json:"baton"`
+	Orders []Order      `json:"orders"`
 }
 
 // Redirect answers /hello with 421; Foreman may be empty.
@@ -133,7 +133,7 @@
 
 // DoRequest is the body of /do.
 type DoRequest struct {
-	Baton  Baton   `json:"baton"`
-	Shift  Shift   `json:"shift"`
-	Orders []Order `json:"orders"`
+	Token  FencingToken `json:"baton"`
+	Shift  Shift        `json:"shift"`
+	Orders []Order      `json:"orders"`
 }
