--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -41,7 +41,15 @@
 			c.sendAway(in.Request)
 			return
 		}
-		c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "withdrawals may not be known"}})
+		// Refused at once, it would try one controller after the other, a second
+		// each, and so would all others. A moment later it may be answered.
+		c.timeouts = append(c.timeouts, timeout{c.now.Add(renewPatience), func() {
+			if r.Token <= c.token && c.mayRenew() && !c.mayStillStart(c.machineOf(r.Machine)) {
+				c.answerWorker(in)
+				return
+			}
+			c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "withdrawals may not be known"}})
+		}})
 		return
 	}
 	if !c.stateFresh() && (c.fresherPeer() != "" || c.sendsOn(c.machineOf(r.Machine))) {
@@ -71,6 +79,9 @@
 }
 
 const (
+	// renewPatience is how long a worker waits for a controller that cannot answer
+	// it now to learn what it lacks.
+	renewPatience = 1500 * time.Millisecond
 	// aloneAfter is how long the state service and the siblings must be away
 	// before workers are sent on.
 	aloneAfter = 3 * time.Second
