--- a/cmd/lilacrill/main.go
+++ b/cmd/lilacrill/main.go
@@ -59,6 +59,9 @@
 			if err != nil {
 				return err
 			}
+			for _, w := range s.Warnings() {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: warning: %s\n", args[0], w)
+			}
 			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: settings of controller %s are good: %d controllers, %d teams, %d zones\n",
 				args[0], s.Label, s.Cluster.Size, len(s.Cluster.Teams), len(s.Cluster.Zones))
 			return err
@@ -88,6 +91,9 @@
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	log.Info("starting", "label", set.Label, "zone", set.Zone, "version", version)
+	for _, w := range set.Warnings() {
+		log.Warn("settings", "warning", w)
+	}
 	return newEngine(set, log).run(ctx)
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -146,6 +146,30 @@
 	return &s, s.check()
 }
 
+// Warnings says which settings, though they can be used, will cost users something,
+// each by its name.
+func (s *Settings) Warnings() []string {
+	var out []string
+	if w := &s.Cluster.Workers; w.CancelS < w.LeaseS+leastSlackS {
+		out = append(out, fmt.Sprintf("cluster.workers.cancel_s: %v s is less than %v s more than cluster.workers.lease_s (%v s): "+
+			"a controller that loses the state service stops answering workers almost at once", w.CancelS, leastSlackS, w.LeaseS))
+	}
+	if q := &s.Cluster.Quota; q.CoreShare < leastShare {
+		out = append(out, fmt.Sprintf("cluster.quota.core_share: %v is less than %v of a core, which some 500 machines need", q.CoreShare, leastShare))
+	}
+	if q := &s.Cluster.Quota; q.MemMB < leastMB {
+		out = append(out, fmt.Sprintf("cluster.quota.mem_mb: %v is less than %v MB, which some 500 machines need", q.MemMB, leastMB))
+	}
+	return out
+}
+
+// What settings are warned of.
+const (
+	leastSlackS = 10
+	leastShare  = 0.04
+	leastMB     = 80
+)
+
 // Seconds turns a number of seconds from the settings into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -122,3 +122,25 @@
 		require.ErrorContains(t, err, field, text)
 	}
 }
+
+// TestWarnings: settings that can be used but will cost something are named.
+func TestWarnings(t *testing.T) {
+	for _, c := range []struct {
+		change   func(*Settings)
+		names    string
+		warnings int
+	}{
+		{func(*Settings) {}, "", 0},
+		{func(s *Settings) { s.Cluster.Workers.CancelS = s.Cluster.Workers.LeaseS + 1 }, "cluster.workers.cancel_s", 1},
+		{func(s *Settings) { s.Cluster.Quota.CoreShare = 0.02 }, "cluster.quota.core_share", 1},
+		{func(s *Settings) { s.Cluster.Quota.MemMB = 40 }, "cluster.quota.mem_mb", 1},
+	} {
+		s, err := Parse([]byte(good))
+		require.NoError(t, err)
+		c.change(s)
+		require.Len(t, s.Warnings(), c.warnings)
+		for _, w := range s.Warnings() {
+			require.Contains(t, w, c.names)
+		}
+	}
+}
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -116,7 +116,8 @@
 func (c *Core) viewControllers() []wire.AdminController {
 	out := []wire.AdminController{{Label: c.set.Label, Boot: c.boot, Alive: true, Buyer: c.buyer == c.boot, Self: true,
 		State: c.stateFresh(), Heard: true, Hears: true, Isolated: c.isolated(), Ledger: c.feed, Token: c.token,
-		InStepS: c.now.Sub(c.inStep).Seconds(), KnownS: c.now.Sub(c.known()).Seconds(), Renews: c.now.Sub(c.known()) <= c.cancelSlack()}}
+		InStepS: c.now.Sub(c.inStep).Seconds(), KnownS: c.now.Sub(c.known()).Seconds(), Renews: c.now.Sub(c.known()) <= c.cancelSlack(),
+		LateS: c.lag * TickEvery.Seconds()}}
 	for _, s := range c.set.Siblings {
 		boot, alive := c.nodes[s.Label]
 		p := c.peers[s.Label]
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -77,6 +77,7 @@
 	if direct && (m.direct == nil || r.Newer(m.direct)) {
 		if m.direct == nil || !sameReport(m.direct, r) {
 			m.lookAgain()
+			c.dirty = true
 		}
 		m.direct, m.directTasks, m.heardDirect = r, tasksOf(r), c.now
 		for key, since := range m.lacking {
@@ -84,12 +85,13 @@
 				delete(m.lacking, key)
 			}
 		}
-		c.dirty = true
 	}
 	if m.newest != nil && !r.Newer(m.newest) {
 		return
 	}
 	before, first := m.tasks, m.newest == nil
+	// A report that only says that the machine is still there changes no plan.
+	c.dirty = c.dirty || first || !sameReport(m.newest, r) || !c.reports(m)
 	c.backFrom(m)
 	m.newest, m.tasks, m.heard, m.shows = r, tasksOf(r), c.now, 0
 	m.addr, m.kind, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
@@ -100,7 +102,6 @@
 	if r.RecallS != nil {
 		m.recallAt = c.now.Add(time.Duration(*r.RecallS * float64(time.Second)))
 	}
-	c.dirty = true
 	pulling := map[string]bool{}
 	for id, t := range m.tasks {
 		if j := c.jobs[id.task.Job]; j != nil && t.State == wire.TaskPulling {
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -38,6 +38,9 @@
 	countNoCapacity = "hires_without_capacity"
 	countSentOn     = "workers_sent_on"
 	countHeldBack   = "answers_held_back_spells"
+	countPasses     = "planning_passes"
+	countLooked     = "records_searched_for_proofs"
+	countLagging    = "spells_behind"
 	countUnwritten  = "machines_returned_unwritten"
 	countReturned   = "machines_returned_" // + why
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -73,6 +73,7 @@
 	if len(c.catalogue) == 0 || !c.concerns(rest) {
 		return
 	}
+	c.count(countPasses, 1)
 	p := &placing{rounds: rounds, used: map[string]placement.Amount{}, own: map[wire.JobID][]*placement.Host{},
 		full: map[search][]placement.Amount{}, gathering: map[string]bool{},
 		ranked: map[like]*placement.Ranking{}}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -23,6 +23,7 @@
 	lastBump      Time
 	lastTick      Time
 	lag           float64 // how late ticks come of late, in ticks
+	lagging       bool
 	nextSweep     Time
 	sweeping      bool
 
@@ -59,6 +60,7 @@
 	// surveyEvery is how often the buyer looks at what waits at least.
 	surveyEvery = time.Second
 	idlePlan    = 500 * time.Millisecond
+	idleMost    = 2 * time.Second
 	// firstTime is how long the placement of a new job is left to the controller
 	// that accepted it.
 	firstTime = 500 * time.Millisecond
@@ -113,7 +115,7 @@
 		c.place(map[string]*round{}, true)
 		return
 	}
-	if !rest && !c.urgent || !c.dirty && !c.after(c.nextPlan.Add(idlePlan)) {
+	if !rest && !c.urgent || !c.dirty && !c.after(c.nextPlan.Add(c.paced(idlePlan, idleMost))) {
 		return
 	}
 	c.dirty = !rest // what could not be looked at now is looked at later
@@ -247,6 +249,16 @@
 	late := min(c.now.Sub(c.lastTick)-TickEvery, stoodStill)
 	c.lag += lagWeight * (max(0, float64(late)/float64(TickEvery)) - c.lag)
 	c.lastTick = c.now
+	if late := c.lag > lagHigh; late != c.lagging && (late || c.lag < lagLow) {
+		c.lagging = late
+		if late {
+			c.count(countLagging, 1)
+			c.log.Info("this process falls behind: what can wait is put off; cluster.quota.core_share may be too small",
+				"late", time.Duration(c.lag*float64(TickEvery)).Round(time.Millisecond), "core_share", c.set.Cluster.Quota.CoreShare)
+		} else {
+			c.log.Info("this process keeps up again")
+		}
+	}
 }
 
 const (
@@ -256,6 +268,9 @@
 	usualShare = 0.18
 	planMost   = time.Second
 	lagWeight  = 0.1 // of the last tick, in the mean
+	// lagHigh and lagLow are how late ticks come, in ticks, when a process is said to
+	// fall behind, and to keep up again.
+	lagHigh, lagLow = 3.0, 0.5
 )
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
--- a/internal/core/proofs.go
+++ b/internal/core/proofs.go
@@ -14,6 +14,7 @@
 			continue
 		}
 		p.look = false
+		c.count(countLooked, 1)
 		for i := range p.entries {
 			// Room is left for the pages of the zones that it may place in. On a page
 			// that is written anyway, more proofs cost no further write.
--- a/internal/core/vouching.go
+++ b/internal/core/vouching.go
@@ -213,10 +213,17 @@
 	}
 }
 
-// noteOver notes that a machine may hold tasks of a job that is over.
+// noteOver notes that a machine may hold tasks of a job that is over. What a process
+// reads at its start may have been withdrawn any time ago: once a machine hung with
+// it from before all controllers ended until after its time was up, as the one that
+// came back gave it all of the time again.
 func (c *Core) noteOver(id wire.MachineID) {
-	if _, ok := c.overOn[id]; !ok {
-		c.overOn[id] = c.known()
+	if _, ok := c.overOn[id]; ok {
+		return
+	}
+	c.overOn[id] = c.known()
+	if c.loading {
+		c.overOn[id] = c.now.Add(-config.Seconds(c.set.Cluster.Workers.CancelS))
 	}
 }
 
@@ -277,7 +284,10 @@
 		if c.after(m.pushAt) && !m.pushing && (!c.stateFresh() || c.tells(m)) {
 			c.push(m)
 		}
-		if m.unanswered > 0 && c.now.Sub(c.overOn[id]) > c.lastResort(m) && len(names) < wire.MaxReturn {
+		if m.newest == nil && m.addr != "" && !m.showing && c.after(m.showAt) && c.mayAsk() {
+			c.show(m) // it cannot be told before it was heard
+		}
+		if c.cannotTell(m) && c.now.Sub(c.overOn[id]) > c.lastResort(m) && len(names) < wire.MaxReturn {
 			names = append(names, id)
 		}
 	}
@@ -286,6 +296,15 @@
 	}
 }
 
+// cannotTell reports whether a machine leaves calls unanswered or, where its address
+// is not known here, had time to report and did not.
+func (c *Core) cannotTell(m *machine) bool {
+	if m.addr == "" {
+		return c.now.Sub(max(m.first, c.readyAt, c.awake, c.hearing)) > config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+time.Second && !c.inDoubt()
+	}
+	return m.unanswered >= unreachableCalls
+}
+
 // tells reports whether it is up to this controller to tell a machine again: it
 // looks after a team of the ended work there, or the machine reports here.
 func (c *Core) tells(m *machine) bool {
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -42,6 +42,9 @@
 	InStepS float64 `json:"in_step_s,omitempty"`
 	KnownS  float64 `json:"withdrawals_known_s,omitempty"`
 	Renews  bool    `json:"answers_workers,omitempty"`
+	// LateS is how late its timers fire of late: its share is too small, or it stood
+	// still.
+	LateS float64 `json:"late_s,omitempty"`
 }
 
 // AdminTeam is a team's usage against its guarantee and its limit.
