A buyer that has just started gives up nothing that it has not had time to hear of

By the log the buyer gave up 42 machines 4 s after a full restart: named by the records alone, with no address, since the list was not read yet; they counted from the load now, not from the first look. Also seen there: work placed on machines that had just been returned (controllers that saw them leave the list took them for usable).

--- a/internal/core/index.go
+++ b/internal/core/index.go
@@ -182,7 +182,7 @@
 
 // usable reports whether a machine may take new tasks now.
 func (c *Core) usable(m *machine) bool {
-	if m == nil || m.newest == nil || m.gone || m.recallAt != 0 || m.status == wire.MachineFailed {
+	if m == nil || m.newest == nil || m.left() || m.recallAt != 0 || m.status == wire.MachineFailed {
 		return false
 	}
 	if _, going := c.leaving[m.id]; going {
--- a/internal/core/returning.go
+++ b/internal/core/returning.go
@@ -15,10 +15,12 @@
 }
 
 // whyIdle is why machines are returned that nothing stands on, whyEnded why those
-// are that hold ended work and cannot be told to stop it.
+// are that hold ended work and cannot be told to stop it, and whyGone those that are
+// gone already with something on them.
 const (
 	whyIdle  = "idle"
 	whyEnded = "holds ended work"
+	whyGone  = "gone with work on it"
 )
 
 // spoil finds machines that should go: dead, silent, never up, or idle.
@@ -63,9 +65,9 @@
 	for _, m := range c.inOrder() {
 		id := m.id
 		if _, going := c.leaving[id]; m.gone && len(m.entries) > 0 && !going && c.toReturn[id] == "" && !slices.Contains(c.returns.Gone, id) {
-			// It was returned while that could not be written down. Others have to learn
-			// that what stood on it is gone.
-			c.markReturn(m, whyEnded)
+			// It was returned while that could not be written down, or got work from one
+			// that did not know. All have to learn that what stood on it is gone.
+			c.markReturn(m, whyGone)
 			continue
 		} else if m.gone || m.left() && len(m.entries) == 0 || c.toReturn[id] != "" || going {
 			continue
@@ -88,7 +90,7 @@
 			// Tasks of jobs that are over must be gone in time, and it cannot be
 			// told: whatever the bounds, it goes.
 			c.markReturn(m, whyEnded)
-		case quiet > c.lenience(m, silence) && (m.shows >= 2 || m.addr == "") && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
+		case quiet > c.lenience(m, silence) && (m.shows >= 2 || c.unaddressed(m, quiet)) && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
 			if c.mayGiveUp(m, reporting) {
 				c.markReturn(m, "silent")
 			}
@@ -108,6 +110,13 @@
 	}
 }
 
+// unaddressed reports whether a machine that only the records name has had the time
+// to be listed, or to be heard by somebody. A buyer that had just started once gave up
+// dozens before it had read the list, which their workers were on their way to.
+func (c *Core) unaddressed(m *machine, quiet time.Duration) bool {
+	return m.addr == "" && c.lists > 0 && quiet > config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+reportSlack
+}
+
 // holdsEnded reports whether a machine has held ended work for longer than that.
 func (c *Core) holdsEnded(id wire.MachineID, patience time.Duration) bool {
 	since, ok := c.overOn[id]
--- a/internal/standin/found_test.go
+++ b/internal/standin/found_test.go
@@ -448,3 +448,38 @@
 		require.Empty(t, w.Broken)
 	}
 }
+
+// TestRestartKeepsMachines guards against a buyer that has just started: what it knows
+// by the records alone it gave up before it had read the list of machines, and before
+// their workers, with reports far apart, had reason to report.
+func TestRestartKeepsMachines(t *testing.T) {
+	for seed := range uint64(6) {
+		set := settings()
+		set.Cluster.Teams[1].CPUsMax = 200
+		set.Cluster.Workers = config.Workers{ReportS: 10, LeaseS: 45, GangWaitS: 35, GangPeerS: 6, CancelS: 65}
+		w := New(set, types, 3, seed)
+		for i := range 60 {
+			w.AddMachine(types[0], zones[i%3], false, 0)
+		}
+		for i := range w.nodes {
+			w.Start(i)
+		}
+		spec, _ := job(1, 1)
+		spec.Tasks = 48
+		w.At(13*time.Second, func() { w.Submit(spec, 0) })
+		w.Run(30 * time.Second)
+		w.outage(20 * time.Second)
+		w.At(17*time.Second, func() {
+			for i := range w.nodes {
+				w.restart(i, 4*time.Second)
+			}
+			w.CloudDown = true // the list comes late
+			w.At(14*time.Second, func() { w.CloudDown = false })
+		})
+		w.Run(60 * time.Second)
+		for _, m := range w.machines[:60] {
+			require.False(t, m.dead && len(m.tasks) > 0, "seed %d: %s was returned", seed, m.id)
+		}
+		require.Empty(t, w.Broken)
+	}
+}
