--- /dev/null
+++ b/internal/core/vouching_test.go
@@ -0,0 +1,119 @@
+package core
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+// vouched makes a controller with two siblings that has read all up to revision 100
+// at second 10, and has sent a vouch at each of the seconds 10 to 14; it is second 20.
+func vouched() *Core {
+	set := &config.Settings{Label: "rig-0", Siblings: []config.Sibling{{Label: "rig-1"}, {Label: "rig-2"}},
+		Cluster: config.Cluster{Zones: []string{"east"}, Workers: config.Workers{ReportS: 10, LeaseS: 45, CancelS: 65},
+			State: config.State{ValueKB: 8, TxnOps: 12, RPS: 100, WriteRPS: 50}}}
+	c := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), 1)
+	c.loaded, c.feed = true, 100
+	for i := range 5 {
+		c.now = Time(10+i) * Time(time.Second)
+		c.vouch()
+	}
+	c.inStep, c.now = Time(10*time.Second), Time(20*time.Second)
+	return c
+}
+
+// word is a sibling's vouch that has heard the given one of ours.
+func word(c *Core, from string, process, number, heard uint64, since wire.Ledger, w ...wire.Withdrawal) *wire.PeerLine {
+	return &wire.PeerLine{From: from, Vouch: &wire.Vouch{Process: process, Number: number, Ledger: since, From: since,
+		Heard: map[string]wire.Echo{c.set.Label: {Process: c.process, Number: heard}}, Withdrawn: w}}
+}
+
+func at(s float64) Time { return Time(s * float64(time.Second)) }
+
+// TestVouching guards what a controller without the state service takes its siblings'
+// word for. It reaches as far as what the sibling has heard of ours, however late the
+// line comes; all have to give theirs; and a process that ended may have told users
+// what nobody vouches for, until the feed was read since.
+func TestVouching(t *testing.T) {
+	c := vouched()
+	require.Equal(t, at(10), c.known())
+	// First lines: earlier processes of theirs may have told anything until now.
+	c.peerSaid(word(c, "rig-1", 7, 1, 5, 100))
+	c.peerSaid(word(c, "rig-2", 8, 1, 5, 100))
+	require.Equal(t, at(10), c.known(), "the feed was not read since they were first heard")
+	c.readTo(at(20))
+	c.now = at(40)
+	for range 3 {
+		c.vouch() // 6 to 8, at second 40
+	}
+	c.now = at(50)
+	c.peerSaid(word(c, "rig-1", 7, 2, 8, 100))
+	require.Equal(t, at(20), c.known(), "one of them has said nothing new")
+	c.peerSaid(word(c, "rig-2", 8, 2, 6, 100))
+	require.Equal(t, at(40), c.known(), "as far as both have heard of ours, not until now")
+	require.True(t, c.mayRenew())
+	require.False(t, c.mayLaunch())
+	c.now = at(40 + 16.1)
+	require.False(t, c.mayRenew(), "a lease more would outlast cancel_s")
+
+	// A withdrawal that is listed is known; a list that begins after what was read
+	// here proves nothing.
+	c.vouch() // 9
+	c.peerSaid(word(c, "rig-1", 7, 3, 9, 100, wire.Withdrawal{Job: "wk-000001", Stamp: 101}))
+	c.peerSaid(word(c, "rig-2", 8, 3, 9, 140))
+	f, ok := c.ended("wk-000001")
+	require.True(t, ok)
+	require.Equal(t, wire.StatusWithdrawn, f.Status)
+	require.Equal(t, at(40), c.known())
+	c.peerSaid(word(c, "rig-2", 8, 4, 9, 100))
+	require.Equal(t, at(40+16.1), c.known())
+
+	// A new process of a sibling: what the one before told last is not known.
+	c.vouch() // 10
+	c.peerSaid(word(c, "rig-2", 9, 1, 10, 100))
+	require.Equal(t, at(20), c.known())
+	require.False(t, c.mayRenew())
+	// What an earlier process of ours was heard of means nothing.
+	c.peerSaid(&wire.PeerLine{From: "rig-1", Vouch: &wire.Vouch{Process: 7, Number: 9,
+		Heard: map[string]wire.Echo{"rig-0": {Process: c.process + 1, Number: 3}}}})
+	require.Equal(t, at(20), c.known())
+}
+
+// TestVouchLists: a vouch lists all withdrawals after the revision that it names,
+// whatever came in between, and names a later one rather than leave some out.
+func TestVouchLists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := vouched()
+		all := map[wire.Ledger]wire.JobID{}
+		stamp := wire.Ledger(100)
+		for i := range rapid.IntRange(0, 900).Draw(t, "withdrawals") {
+			stamp += wire.Ledger(rapid.IntRange(1, 3).Draw(t, "step"))
+			id := wire.JobID(wire.TaskID{Job: "wk-1", Index: i}.String())
+			c.apply(jobKey(id), encode(overRecord{finalRecord{wire.StatusWithdrawn, 0}}), stamp)
+			all[stamp] = id
+			if rapid.IntRange(0, 200).Draw(t, "told") == 0 {
+				p := rapid.SampledFrom([]string{"rig-1", "rig-2"}).Draw(t, "by")
+				c.peerSaid(word(c, p, 7, 1, 5, stamp))
+			}
+		}
+		c.feed = stamp
+		v := c.vouch()
+		listed := map[wire.Ledger]wire.JobID{}
+		for _, w := range v.Withdrawn {
+			listed[w.Stamp] = w.Job
+		}
+		require.LessOrEqual(t, len(listed), mostWithdrawn)
+		for s, id := range all {
+			if s > v.From {
+				require.Equal(t, id, listed[s])
+			}
+		}
+	})
+}
