--- a/internal/standin/gap_test.go
+++ b/internal/standin/gap_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -189,3 +190,64 @@
 	require.Equal(t, 8, w.jobs[spec.ID].launched, "replicas were started anew")
 	require.Empty(t, w.Broken)
 }
+
+// TestLateLaunch guards against a launch that is held up on its way for longer than
+// cancel_s, while nobody can raise a fence: its job was withdrawn before the worker had
+// it, and in the outage that follows the worker's lease must not be renewed for so long
+// that the launch still finds its session.
+func TestLateLaunch(t *testing.T) {
+	late := 0
+	for seed := range uint64(6) {
+		w := worldOf(gapSettings(), seed, 3)
+		for i := range 9 {
+			w.AddMachine(types[0], zones[i%3], false, 0)
+		}
+		w.Run(20 * time.Second)
+		w.NoDirect = true // what is sent directly now is held up
+		for n := range 12 {
+			spec, _ := job(n, 0)
+			spec.Tasks = 1
+			w.At(0, func() { w.Submit(spec, 200*time.Second) })
+			w.At(1500*time.Millisecond, func() { w.CancelJob(spec.ID) })
+		}
+		// The launches as they were sent: under the token of then, for the session of then.
+		type launch struct {
+			m    *machine
+			body wire.DoRequest
+		}
+		var held []launch
+		w.At(1400*time.Millisecond, func() {
+			for _, e := range w.store.List("l/p/") {
+				var v struct {
+					Groups []struct {
+						Job      wire.JobID       `json:"j"`
+						Attempt  wire.Attempt     `json:"a"`
+						Machines []wire.MachineID `json:"m"`
+					} `json:"e"`
+				}
+				require.NoError(t, json.Unmarshal(e.Value, &v))
+				for _, g := range v.Groups {
+					for _, id := range g.Machines {
+						m := w.byID[id]
+						held = append(held, launch{m, wire.DoRequest{Token: m.token, Shift: m.shift,
+							Orders: []wire.Order{{Verb: wire.VerbLaunch, Task: wire.TaskID{Job: g.Job}, Attempt: g.Attempt}}}})
+					}
+				}
+			}
+		})
+		w.Run(1530 * time.Millisecond) // withdrawn, and no fence raised yet
+		w.StateDown, w.NoDirect = true, false
+		w.At(w.Cancel+5*time.Second, func() {
+			for _, l := range held {
+				job := l.body.Orders[0].Task.Job
+				if w.jobs[job].told == wire.StatusWithdrawn && w.jobs[job].launched == 0 {
+					late++
+					l.m.act(func() { l.m.do(l.body) })
+				}
+			}
+		})
+		w.Run(w.Cancel + 10*time.Second)
+		require.Empty(t, w.Broken, "seed %d", seed)
+	}
+	require.Greater(t, late, 10, "launches that came late")
+}
