Fewer direct calls to workers: arrivals in crowds, silent machines, lost controllers

Cause: with a zone and a controller lost, a third of a controller's processor time went into direct calls to workers (load benchmark): each worker that came was called back over a new connection, and each machine out of reach asked once a second. Now only a few of those that come at once are asked, the others if their next report is late; pauses double after two unanswered calls, to 10 s; and a machine whose controller is not heard is not asked before its worker had the time to find another. Critical work is asked after as before.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -21,6 +21,7 @@
 	unheard     bool       // most machines leave our calls unanswered: it is us, not them
 	up          int        // machines that are up, as far as known
 	asking      int        // machines that are being asked for their report
+	arrivals    int        // workers that came to this controller since the last look
 	pushing     int        // machines that are being told their orders
 	callsAtOnce int        // direct calls to workers that may be under way at once
 	heldUrgent  []*machine // have orders, but too many calls are under way
@@ -74,7 +75,8 @@
 	directTasks    map[attemptKey]*wire.TaskReport // of direct
 	heard          Time                            // when something new last came
 	heardDirect    Time
-	recallAt       Time // when the cloud takes it, if newest has a notice
+	reportsTo      string // the controller that last heard it, as far as known
+	recallAt       Time   // when the cloud takes it, if newest has a notice
 
 	images map[string]Time // images it has, and when they were last seen in use
 	has    map[string]bool // the same, as placement reads it
@@ -94,7 +96,8 @@
 	pushAt   Time         // not before
 	showing  bool
 	showAt   Time
-	shows    int // unanswered in a row
+	probeAt  Time // when it is to be asked whether anything reaches it; 0: not at all
+	shows    int  // unanswered in a row
 	badUntil Time
 	faults   map[wire.JobID]Time
 
@@ -171,15 +174,17 @@
 func (m *machine) left() bool { return m.gone || m.leftAt > m.heard }
 
 const (
-	pushRetry   = time.Second
-	showRetry   = 900 * time.Millisecond
-	forgetAfter = 2 * time.Minute
-	sweepClears = 45 * time.Second
-	manyClears  = 40
-	noteEvery   = time.Second
-	imageShards = 24
-	notedImages = 6  // of one machine, those seen in use last
-	maxImages   = 40 // remembered of one machine
+	pushRetry = time.Second
+	showRetry = 900 * time.Millisecond
+	// nextLookEvery is how often all machines are looked at.
+	nextLookEvery = 200 * time.Millisecond
+	forgetAfter   = 2 * time.Minute
+	sweepClears   = 45 * time.Second
+	manyClears    = 40
+	noteEvery     = time.Second
+	imageShards   = 24
+	notedImages   = 6  // of one machine, those seen in use last
+	maxImages     = 40 // remembered of one machine
 )
 
 func (c *Core) tickFleet() {
@@ -195,7 +200,8 @@
 	if !c.after(c.nextLook) {
 		return
 	}
-	c.nextLook = c.now.Add(200 * time.Millisecond)
+	c.nextLook = c.now.Add(nextLookEvery)
+	c.arrivals = 0
 	c.tickOver()
 	c.sound()
 	uncleared, oldest := 0, false
@@ -237,7 +243,8 @@
 		// Ask a silent worker itself: it may have lost its way to us. So is one
 		// that left a call unanswered, though its reports go on.
 		if m.addr != "" && m.status != wire.MachineBooting && !m.showing && c.after(m.showAt) && c.mayAsk() &&
-			(m.unanswered > 0 || quiet > c.silentAsk(m) && c.asks(m, quiet)) {
+			(m.unanswered > 0 || m.probeDue(c.now) || quiet > c.silentAsk(m) && c.asks(m, quiet)) {
+			m.probeAt = 0
 			c.show(m)
 		}
 	}
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -21,8 +21,11 @@
 // waits for at every moment, reports may be too far apart to wait for the next.
 func (c *Core) silentAsk(m *machine) time.Duration {
 	usual := config.Seconds(1.3 * c.set.Cluster.Workers.ReportS)
-	if c.pressing(m) {
+	switch {
+	case c.pressing(m):
 		return min(usual, pressingAsk)
+	case c.losesController(m):
+		return usual + workerPatience + workerPause
 	}
 	return usual
 }
@@ -180,8 +183,9 @@
 // show asks a worker for its report.
 func (c *Core) show(m *machine) {
 	m.showing = true
-	m.showAt = c.now.Add(showRetry)
+	m.showAt = c.now.Add(m.probePause())
 	c.asking++
+	c.count(countProbes, 1)
 	asked := c.now
 	c.do(Show{call(c, func(a Answered) {
 		m.showing = false
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -37,6 +37,7 @@
 	countHired      = "machines_rented"
 	countNoCapacity = "hires_without_capacity"
 	countSentOn     = "workers_sent_on"
+	countProbes     = "workers_asked"
 	countHeldBack   = "answers_held_back_spells"
 	countPasses     = "planning_passes"
 	countLooked     = "records_searched_for_proofs"
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -99,10 +99,11 @@
 	m := c.machineOf(in.Report.Machine)
 	came := m.direct == nil || c.now.Sub(m.heardDirect) > config.Seconds(2*c.set.Cluster.Workers.ReportS)
 	c.hear(in.Report, true)
-	if came && !m.showing && !m.gone && c.mayAsk() {
-		// It may have come because nothing reaches it, or this may be a late copy
-		// of a report that it sent long ago.
-		c.show(m)
+	m.reportsTo = c.set.Label
+	if came {
+		c.probeArrival(m)
+	} else {
+		m.probeAt = 0 // it has stayed, so it had our last answer
 	}
 	var orders []wire.Order
 	// A report that is older than one we know was held up on its way: orders
--- a/internal/standin/work_test.go
+++ b/internal/standin/work_test.go
@@ -14,6 +14,9 @@
 func (w *World) counts() map[string]uint64 {
 	sum := map[string]uint64{}
 	for _, n := range w.nodes {
+		if n.core == nil {
+			continue // it is down
+		}
 		n.request++
 		for _, o := range n.core.Step(w.now-n.born, 0, core.ViewAsked{Request: n.request, View: wire.ViewMetrics}) {
 			if r, ok := o.(core.Reply); ok && r.Request == n.request {
