--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -122,11 +122,19 @@
 	return cmp.Compare(a.host.ID, b.host.ID)
 }
 
-// Len, Less, Swap, Push and Pop implement heap.Interface.
-func (k *Ranking) Len() int           { return len(k.rest) }
+// Len implements heap.Interface.
+func (k *Ranking) Len() int { return len(k.rest) }
+
+// Less implements heap.Interface.
 func (k *Ranking) Less(a, b int) bool { return k.rest[a].compare(&k.rest[b]) < 0 }
-func (k *Ranking) Swap(a, b int)      { k.rest[a], k.rest[b] = k.rest[b], k.rest[a] }
-func (k *Ranking) Push(x any)         { k.rest = append(k.rest, x.(ranked)) }
+
+// Swap implements heap.Interface.
+func (k *Ranking) Swap(a, b int) { k.rest[a], k.rest[b] = k.rest[b], k.rest[a] }
+
+// Push implements heap.Interface.
+func (k *Ranking) Push(x any) { k.rest = append(k.rest, x.(ranked)) }
+
+// Pop implements heap.Interface.
 func (k *Ranking) Pop() any {
 	last := k.rest[len(k.rest)-1]
 	k.rest = k.rest[:len(k.rest)-1]
@@ -199,26 +207,26 @@
 	return k
 }
 
-func (rd *Reading) fill(r *Request, pool *Ranking, enforced, preferred []Node, count int, undo map[*Host]Host) []Choice {
+func (r *Reading) fill(request *Request, pool *Ranking, enforced, preferred []Node, count int, undo map[*Host]Host) []Choice {
 	var out []Choice
 	for i := pool.from; i < pool.len(); i++ {
 		h := pool.at(i)
-		if i == pool.from && (h.Slots <= 0 || !h.Free.Covers(r.Need)) {
+		if i == pool.from && (h.Slots <= 0 || !h.Free.Covers(request.Need)) {
 			pool.from++
 			continue
 		}
 		placed := 0
-		for count > 0 && h.Slots > 0 && h.Free.Covers(r.Need) &&
-			rd.Holds(enforced, r.Team, h) && rd.Holds(preferred, r.Team, h) {
+		for count > 0 && h.Slots > 0 && h.Free.Covers(request.Need) &&
+			r.Holds(enforced, request.Team, h) && r.Holds(preferred, request.Team, h) {
 			n := 1
-			if !r.Single {
-				n = h.Free.Times(r.Need, min(count, h.Slots))
+			if !request.Single {
+				n = h.Free.Times(request.Need, min(count, h.Slots))
 			}
 			if _, ok := undo[h]; !ok {
 				undo[h] = Host{Free: h.Free, Slots: h.Slots, Groups: slices.Clone(h.Groups)}
 			}
-			h.Add(r.Team, r.Tags, r.Need, n)
-			rd.added(r.Tags, h, n)
+			h.Add(request.Team, request.Tags, request.Need, n)
+			r.added(request.Tags, h, n)
 			placed += n
 			count -= n
 		}
@@ -233,15 +241,15 @@
 }
 
 // bestZone is the zone with room for most of the tasks.
-func (rd *Reading) bestZone(r *Request, pool *Ranking, count int) string {
+func (r *Reading) bestZone(request *Request, pool *Ranking, count int) string {
 	room := map[string]int{}
 	best := ""
 	for i := range pool.len() {
 		h := pool.at(i)
-		if rd.Holds(r.Enforced, r.Team, h) {
+		if r.Holds(request.Enforced, request.Team, h) {
 			z := h.Labels[LabelZone]
 			before := room[z]
-			room[z] = min(count, before+h.Free.Times(r.Need, count))
+			room[z] = min(count, before+h.Free.Times(request.Need, count))
 			// The pool is in order of rank, so of zones with equal room the one
 			// whose machines rank better wins.
 			if best == "" || room[z] > room[best] {
--- a/internal/standin/loopback.go
+++ b/internal/standin/loopback.go
@@ -20,10 +20,8 @@
 type LoopbackWorkers struct {
 	settings LoopbackSettings
 	port     int
-	runtime  sync.Map // wire.JobID to time.Duration; 0 for a service
-
-	mu      sync.Mutex
-	workers map[string]*loopbackWorker // by address
+	runtime  sync.Map                   // wire.JobID to time.Duration; 0 for a service
+	workers  map[string]*loopbackWorker // by address; not changed once they run
 }
 
 // LoopbackSettings sizes the workers.
@@ -125,11 +123,11 @@
 	controller int
 	changed    chan struct{} // holds an element if a report is due at once
 
-	mu    sync.Mutex
-	cut   bool
-	tally wire.Tally
-	token wire.FencingToken
-	tasks map[taskKey]*wire.TaskReport
+	mu       sync.Mutex
+	cut      bool
+	sequence wire.Sequence
+	token    wire.FencingToken
+	tasks    map[taskKey]*wire.TaskReport
 }
 
 func (w *loopbackWorker) unreachable() bool {
@@ -141,8 +139,8 @@
 func (w *loopbackWorker) report() *wire.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.tally++
-	r := &wire.Report{Machine: w.id, Addr: w.addr, Type: w.kind, Zone: w.zone, Shift: 1, Tally: w.tally, Token: w.token}
+	w.sequence++
+	r := &wire.Report{Machine: w.id, Addr: w.addr, Type: w.kind, Zone: w.zone, Session: 1, Sequence: w.sequence, Token: w.token}
 	for _, t := range w.tasks {
 		r.Tasks = append(r.Tasks, *t)
 	}
