Fewer direct calls, second thought: arrivals and silent machines are asked as before

Likely cause: an overloaded controller's own calls time out, and a machine that then is not asked again for seconds gets no work or is given up.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -21,7 +21,6 @@
 	unheard               bool       // most machines leave our calls unanswered: it is us, not them
 	up                    int        // machines that are up, as far as known
 	asking                int        // machines that are being asked for their report
-	arrivals              int        // workers that came to this controller since the last look
 	sendingOrders         int        // machines that are being told their orders
 	callsAtOnce           int        // direct calls to workers that may be under way at once
 	heldUrgent            []*machine // have orders, but too many calls are under way
@@ -96,8 +95,7 @@
 	nextOrders         Time         // not before
 	requestingReport   bool
 	nextReportRequest  Time
-	probeAt            Time // when it is to be asked whether anything reaches it; 0: not at all
-	unansweredRequests int  // unanswered in a row
+	unansweredRequests int // unanswered in a row
 	badUntil           Time
 	faults             map[wire.JobID]Time
 
@@ -201,7 +199,6 @@
 		return
 	}
 	c.nextLook = c.now.Add(nextLookEvery)
-	c.arrivals = 0
 	c.tickOver()
 	c.probeReachability()
 	uncleared, oldest := 0, false
@@ -243,8 +240,7 @@
 		// Ask a silent worker itself: it may have lost its way to us. So is one
 		// that left a call unanswered, though its reports go on.
 		if m.addr != "" && m.status != wire.MachineBooting && !m.requestingReport && c.after(m.nextReportRequest) && c.mayAsk() &&
-			(m.unanswered > 0 || m.probeDue(c.now) || quiet > c.silentAsk(m) && c.asks(m, quiet)) {
-			m.probeAt = 0
+			(m.unanswered > 0 || quiet > c.silentAsk(m) && c.asks(m, quiet)) {
 			c.requestReport(m)
 		}
 	}
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -183,7 +183,7 @@
 // requestReport asks a worker for its report.
 func (c *Core) requestReport(m *machine) {
 	m.requestingReport = true
-	m.nextReportRequest = c.now.Add(m.probePause())
+	m.nextReportRequest = c.now.Add(reportRequestRetry)
 	c.asking++
 	c.count(countProbes, 1)
 	asked := c.now
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -100,10 +100,10 @@
 	came := m.direct == nil || c.now.Sub(m.heardDirect) > config.Seconds(2*c.settings.Cluster.Workers.ReportS)
 	c.hear(in.Report, true)
 	m.reportsTo = c.settings.Label
-	if came {
-		c.probeArrival(m)
-	} else {
-		m.probeAt = 0 // it has stayed, so it had our last answer
+	if came && !m.requestingReport && !m.gone && c.mayAsk() {
+		// It may have come because nothing reaches it, or this may be a late copy
+		// of a report that it sent long ago.
+		c.requestReport(m)
 	}
 	var orders []wire.Order
 	// A report that is older than one we know was held up on its way: orders
