--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -276,13 +276,9 @@
 	}
 	for _, r := range l.Reports {
 		c.hear(r, false)
-		c.machines[r.Machine].reportsTo = l.From
 	}
 	for i := range l.Heard {
 		c.heardAgain(&l.Heard[i])
-		if m := c.machines[l.Heard[i].Machine]; m != nil {
-			m.reportsTo = l.From
-		}
 	}
 	if len(l.Cloud) > 0 {
 		c.listed(l.Cloud)
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -74,8 +74,7 @@
 	directTasks    map[attemptKey]*wire.TaskReport // of direct
 	heard          Time                            // when something new last came
 	heardDirect    Time
-	reportsTo      string // the controller that last heard it, as far as known
-	recallAt       Time   // when the cloud takes it, if newest has a notice
+	recallAt       Time // when the cloud takes it, if newest has a notice
 
 	images map[string]Time // images it has, and when they were last seen in use
 	has    map[string]bool // the same, as placement reads it
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -21,11 +21,8 @@
 // waits for at every moment, reports may be too far apart to wait for the next.
 func (c *Core) silentAsk(m *machine) time.Duration {
 	usual := config.Seconds(1.3 * c.settings.Cluster.Workers.ReportS)
-	switch {
-	case c.hasCriticalTasks(m):
+	if c.hasCriticalTasks(m) {
 		return min(usual, criticalTasksAsk)
-	case c.losesController(m):
-		return usual + workerPatience + workerPause
 	}
 	return usual
 }
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -99,7 +99,6 @@
 	m := c.machineOf(in.Report.Machine)
 	came := m.direct == nil || c.now.Sub(m.heardDirect) > config.Seconds(2*c.settings.Cluster.Workers.ReportS)
 	c.hear(in.Report, true)
-	m.reportsTo = c.settings.Label
 	if came && !m.requestingReport && !m.gone && c.mayAsk() {
 		// It may have come because nothing reaches it, or this may be a late copy
 		// of a report that it sent long ago.
