--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -11,10 +11,10 @@
 	"lilacrill/wire"
 )
 
-// TestDeafMachine guards against a machine whose reports arrive while nothing
+// TestMachineWithInboundCut guards against a machine whose reports arrive while nothing
 // reaches it: it looks well, and its lease runs out unseen. What stood on it
 // must run elsewhere, no new work may go there, and it must not be kept.
-func TestDeafMachine(t *testing.T) {
+func TestMachineWithInboundCut(t *testing.T) {
 	for seed := range uint64(6) {
 		w := newWorld(t, seed, 3)
 		spec, _ := job(1, 1)
--- a/internal/standin/arrivals_test.go
+++ b/internal/standin/arrivals_test.go
@@ -25,9 +25,9 @@
 	return w
 }
 
-// TestDeafArrivalsAreFound guards the reason for which workers that come are asked at
+// TestArrivalsWithInboundCutAreFound guards the reason for which workers that come are asked at
 // all: many that came because nothing reaches them are still told from the others.
-func TestDeafArrivalsAreFound(t *testing.T) {
+func TestArrivalsWithInboundCutAreFound(t *testing.T) {
 	w := fleetOf(80)
 	for _, m := range w.machines[:8] {
 		m.inboundCut = true
