--- /dev/null
+++ b/cmd/lilacrill/load_bench_test.go
@@ -0,0 +1,408 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/admin"
+	"lilacrill/internal/config"
+	"lilacrill/internal/httpcall"
+	"lilacrill/internal/standin"
+	"lilacrill/wire"
+)
+
+// loadSize is a cluster of the load benchmark.
+type loadSize struct {
+	controllers, workers, services int
+	zones                          []string
+	reportS, leaseS, cancelS       float64
+	quota                          config.Quota
+	writeRPS                       float64
+	// arrayEvery is the pause between two arrays, each of arrayTasks tasks.
+	arrayEvery time.Duration
+	arrayTasks int
+}
+
+var (
+	smallLoad = loadSize{controllers: 3, workers: 720, services: 100, zones: []string{"a", "b", "c"}, reportS: 3, leaseS: 21, cancelS: 46,
+		quota: config.Quota{CoreShare: 0.054, MemMB: 114, Sockets: 1500}, writeRPS: 40, arrayEvery: 1500 * time.Millisecond, arrayTasks: 60}
+	largeLoad = loadSize{controllers: 5, workers: 2260, services: 400, zones: []string{"a", "b", "c", "d"}, reportS: 5, leaseS: 45, cancelS: 65,
+		quota: config.Quota{CoreShare: 0.144, MemMB: 147, Sockets: 5000}, writeRPS: 50, arrayEvery: 1200 * time.Millisecond, arrayTasks: 80}
+)
+
+// BenchmarkLoadSmall and BenchmarkLoadLarge run real controllers over loopback, with
+// stand-ins for the state service and the cloud, and say what each phase of a load
+// costs a controller. The controllers' profiles stay in the folder that
+// LILACRILL_LOAD_OUT names, if it is set. Run them with -benchtime=1x.
+func BenchmarkLoadSmall(b *testing.B) { benchmarkLoad(b, smallLoad) }
+
+// BenchmarkLoadLarge is the larger of the two.
+func BenchmarkLoadLarge(b *testing.B) { benchmarkLoad(b, largeLoad) }
+
+const (
+	phaseTime  = 30 * time.Second
+	settleTime = 20 * time.Second
+	outFolder  = "LILACRILL_LOAD_OUT"
+	loadToken  = "load"
+)
+
+func benchmarkLoad(b *testing.B, size loadSize) {
+	for b.Loop() {
+		l := startLoad(b, size)
+		l.phase("idle", func() { time.Sleep(phaseTime) })
+		l.submitServices()
+		time.Sleep(settleTime)
+		l.next()
+		l.phase("ordinary", func() { l.ordinary(phaseTime) })
+		l.phase("burst", func() {
+			for range 100 {
+				go l.submit(l.arrayJob(8), 10*time.Second)
+			}
+			time.Sleep(10 * time.Second)
+		})
+		l.phase("polls", func() {
+			l.pollEvery.Store(int64(500 * time.Millisecond))
+			l.ordinary(15 * time.Second)
+			l.pollEvery.Store(int64(usualPoll))
+		})
+		l.phase("restart", func() {
+			for i := range l.processes {
+				l.kill(i)
+			}
+			time.Sleep(3 * time.Second)
+			for i := range l.processes {
+				l.start(i)
+			}
+			l.ordinary(20 * time.Second)
+		})
+		l.phase("zone and controller lost", func() {
+			l.workers.CutZone(size.zones[0], true)
+			l.kill(0)
+			time.Sleep(3 * time.Second)
+			l.start(0)
+			l.ordinary(20 * time.Second)
+		})
+		l.stop()
+	}
+}
+
+// load is a cluster under load.
+type load struct {
+	b         *testing.B
+	size      loadSize
+	out       string
+	ctx       context.Context
+	stop      context.CancelFunc
+	addrs     []string
+	configs   []string
+	processes []*exec.Cmd
+	phases    []int // of each process
+	workers   *standin.LoopbackWorkers
+	jobs      atomic.Int64
+	pollEvery atomic.Int64
+	polls     atomic.Int64
+	served    atomic.Int64 // submissions
+	refused   atomic.Int64
+	users     sync.WaitGroup
+}
+
+// usualPoll is how often a user asks about a job.
+const usualPoll = 5 * time.Second
+
+func startLoad(b *testing.B, size loadSize) *load {
+	l := &load{b: b, size: size, out: os.Getenv(outFolder)}
+	if l.out == "" {
+		l.out = b.TempDir()
+	}
+	l.pollEvery.Store(int64(usualPoll))
+	l.ctx, l.stop = context.WithCancel(context.Background())
+	types := []wire.MachineType{
+		{Name: "c4", Cores: 4, MemGB: 32, Rate: 0.3, MarketPrice: 0.1, StartupS: 15, PullGBPerS: 0.8, Zones: size.zones},
+		{Name: "c16", Cores: 16, MemGB: 64, Rate: 1.1, MarketPrice: 0.4, StartupS: 30, PullGBPerS: 0.2, Zones: size.zones},
+	}
+	state := httptest.NewServer(standin.NewStateServer())
+	cloud := httptest.NewServer(standin.CloudServer{Types: types, Listed: func() []wire.ListedMachine { return l.workers.Listed() }})
+	var peers []string
+	for range size.controllers {
+		l.addrs, peers = append(l.addrs, freeAddr(b)), append(peers, freeAddr(b))
+	}
+	var err error
+	l.workers, err = standin.StartLoopbackWorkers(l.ctx, standin.LoopbackSettings{Controllers: l.addrs,
+		ReportEvery: config.Seconds(size.reportS), Zones: size.zones, Types: types}, size.workers)
+	require.NoError(b, err)
+	for i := range size.controllers {
+		l.writeSettings(i, peers, strings.TrimPrefix(state.URL, "http://"), strings.TrimPrefix(cloud.URL, "http://"))
+	}
+	l.processes, l.phases = make([]*exec.Cmd, size.controllers), make([]int, size.controllers)
+	b.Cleanup(func() {
+		l.stop()
+		for i := range l.processes {
+			l.kill(i)
+		}
+		l.users.Wait()
+		state.CloseClientConnections()
+		state.Close()
+		cloud.Close()
+	})
+	for i := range l.processes {
+		l.start(i)
+	}
+	l.keepMachines()
+	return l
+}
+
+func (l *load) writeSettings(i int, peers []string, state, cloud string) {
+	set := config.Settings{Label: fmt.Sprint("node-", i), Zone: l.size.zones[i%len(l.size.zones)], PublicAddr: l.addrs[i], PeerListen: peers[i],
+		Services: config.Services{Cloud: cloud, State: state},
+		Cluster: config.Cluster{Size: l.size.controllers, Zones: l.size.zones, SkewMS: 25,
+			Workers: config.Workers{ReportS: l.size.reportS, LeaseS: l.size.leaseS, GangWaitS: 45, GangPeerS: 8, CancelS: l.size.cancelS},
+			State:   config.State{RPS: 200, WriteRPS: l.size.writeRPS, ValueKB: 8, TxnOps: 32},
+			Cloud:   config.Cloud{RPS: 5, ListLagS: 3}, Quota: l.size.quota}}
+	for n := range 4 {
+		set.Cluster.Teams = append(set.Cluster.Teams, config.Team{Name: fmt.Sprint("team-", n), CPUs: 1500, CPUsMax: 30000})
+	}
+	for n, peer := range peers {
+		if n != i {
+			set.Siblings = append(set.Siblings, config.Sibling{Label: fmt.Sprint("node-", n), Zone: l.size.zones[n%len(l.size.zones)], Endpoint: peer})
+		}
+	}
+	text, err := toml.Marshal(set)
+	require.NoError(l.b, err)
+	path := filepath.Join(l.b.TempDir(), fmt.Sprintf("node-%d.toml", i))
+	require.NoError(l.b, os.WriteFile(path, text, 0o600))
+	l.configs = append(l.configs, path)
+}
+
+// start starts a controller as a process of its own.
+func (l *load) start(i int) {
+	p := exec.Command(os.Args[0], "--config", l.configs[i])
+	p.Env = append(os.Environ(), profileVariable+"="+l.out, admin.TokenVariable+"="+loadToken, "LOG_LEVEL=info")
+	log, err := os.OpenFile(filepath.Join(l.out, fmt.Sprintf("node-%d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(l.b, err)
+	defer log.Close()
+	p.Stderr = log
+	require.NoError(l.b, p.Start())
+	l.processes[i], l.phases[i] = p, 0
+}
+
+// kill ends a controller with no time to say anything.
+func (l *load) kill(i int) {
+	if p := l.processes[i]; p != nil {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+		l.processes[i] = nil
+	}
+}
+
+// keepMachines has idle machines kept: the stand-in cloud rents out no others.
+func (l *load) keepMachines() {
+	client := admin.NewClient(l.addrs[0], loadToken)
+	require.Eventually(l.b, func() bool {
+		_, err := client.Change(wire.AdminSettings{Settings: json.RawMessage(`{"idle_s":86400}`)})
+		return err == nil
+	}, patient, 100*time.Millisecond)
+}
+
+// phase runs a phase of the load and reports what it cost each controller.
+func (l *load) phase(name string, run func()) {
+	before := l.usage()
+	polls, served, refused, from := l.polls.Load(), l.served.Load(), l.refused.Load(), time.Now()
+	run()
+	took := time.Since(from).Seconds()
+	counts := l.next()
+	for i, u := range l.usage() {
+		if u.pid == before[i].pid {
+			u = u.since(before[i])
+			counts[i].Allocations -= before[i].counts.Allocations
+		}
+		fmt.Printf("%-26s node-%d: %5.2f %% of a core (%4.2f s user, %4.2f s system), %6.0f switches/s, %7.0f allocations/s, heap %3.0f MB, resident %3.0f MB, peak %3.0f MB\n",
+			name, i, 100*(u.user+u.system)/took, u.user, u.system, u.switches/took, float64(counts[i].Allocations)/took, counts[i].HeapMB, u.residentMB, u.peakMB)
+	}
+	fmt.Printf("%-26s %.0f s; polls %d, submissions taken %d, refused or failed %d\n", name, took, l.polls.Load()-polls, l.served.Load()-served, l.refused.Load()-refused)
+}
+
+// next has the controllers begin profiles for the next phase, and returns their counts.
+func (l *load) next() []processCounts {
+	counts := make([]processCounts, len(l.processes))
+	for i, p := range l.processes {
+		require.NoError(l.b, p.Process.Signal(syscall.SIGUSR1))
+		path := filepath.Join(l.out, fmt.Sprintf("%d-%d.json", p.Process.Pid, l.phases[i]))
+		var text []byte
+		require.Eventually(l.b, func() bool {
+			var err error
+			text, err = os.ReadFile(path)
+			return err == nil
+		}, patient, 10*time.Millisecond)
+		require.NoError(l.b, json.Unmarshal(text, &counts[i]))
+		l.phases[i]++
+		l.lastCounts(i, counts[i])
+	}
+	return counts
+}
+
+// processUsage is what the system says of a process.
+type processUsage struct {
+	pid                int
+	user, system       float64 // seconds
+	switches           float64
+	residentMB, peakMB float64
+	counts             processCounts
+}
+
+func (u processUsage) since(before processUsage) processUsage {
+	u.user -= before.user
+	u.system -= before.system
+	u.switches -= before.switches
+	return u
+}
+
+var counted sync.Map // pid to the last processCounts
+
+func (l *load) lastCounts(i int, c processCounts) { counted.Store(l.processes[i].Process.Pid, c) }
+
+const (
+	ticksPerSecond = 100 // of the times in /proc
+	kilobytesPerMB = 1024
+)
+
+func (l *load) usage() []processUsage {
+	all := make([]processUsage, len(l.processes))
+	for i, p := range l.processes {
+		u := processUsage{pid: p.Process.Pid}
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", u.pid))
+		require.NoError(l.b, err)
+		fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+		u.user, u.system = number(fields[11])/ticksPerSecond, number(fields[12])/ticksPerSecond
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", u.pid))
+		require.NoError(l.b, err)
+		for line := range strings.Lines(string(status)) {
+			words := strings.Fields(line)
+			switch words[0] {
+			case "VmRSS:":
+				u.residentMB = number(words[1]) / kilobytesPerMB
+			case "VmHWM:":
+				u.peakMB = number(words[1]) / kilobytesPerMB
+			}
+		}
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", u.pid))
+		require.NoError(l.b, err)
+		for _, path := range threads {
+			status, err := os.ReadFile(path)
+			if err != nil {
+				continue // the thread has ended
+			}
+			for line := range strings.Lines(string(status)) {
+				if rest, found := strings.CutPrefix(line, "voluntary_ctxt_switches:"); found {
+					u.switches += number(strings.TrimSpace(rest))
+				}
+			}
+		}
+		if c, known := counted.Load(u.pid); known {
+			u.counts = c.(processCounts)
+		}
+		all[i] = u
+	}
+	return all
+}
+
+func number(text string) float64 {
+	v, _ := strconv.ParseFloat(text, 64)
+	return v
+}
+
+func (l *load) submitServices() {
+	for n := range l.size.services {
+		spec := l.job(wire.ShapeService, wire.RankCritical, []int{3, 6, 8, 9}[n%4])
+		spec.Image = fmt.Sprint("service-", n%12)
+		go l.submit(spec, 0)
+	}
+}
+
+// ordinary submits arrays for a while.
+func (l *load) ordinary(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(l.size.arrayEvery) {
+		go l.submit(l.arrayJob(l.size.arrayTasks), 25*time.Second)
+	}
+}
+
+func (l *load) arrayJob(tasks int) wire.JobSpec {
+	spec := l.job(wire.ShapeArray, wire.RankNormal, tasks)
+	spec.Image = fmt.Sprint("array-", spec.ID[len(spec.ID)-1:])
+	return spec
+}
+
+func (l *load) job(shape wire.Shape, rank wire.Rank, tasks int) wire.JobSpec {
+	n := l.jobs.Add(1)
+	return wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", n)), Class: string(shape), Team: fmt.Sprint("team-", n%4), Shape: shape, Rank: rank,
+		Tasks: tasks, Cores: 1, MemGB: 2, ImageGB: 1, RuntimeS: 25}
+}
+
+// submit is a user: it submits a job until that is taken, and then asks about it
+// until it is over.
+func (l *load) submit(spec wire.JobSpec, runtime time.Duration) {
+	l.users.Add(1)
+	defer l.users.Done()
+	l.workers.Know(spec.ID, runtime)
+	var client *httpcall.Client
+	connect := func() {
+		if client != nil {
+			client.Close()
+		}
+		client = httpcall.New(l.addrs[rand.IntN(len(l.addrs))], 1, time.Minute)
+	}
+	connect()
+	defer func() { client.Close() }()
+	for l.ctx.Err() == nil {
+		status, err := client.Call(http.MethodPost, "/work", submissionOf(spec), 5*time.Second, nil)
+		if err == nil && (status == http.StatusCreated || status == http.StatusOK) {
+			l.served.Add(1)
+			break
+		}
+		l.refused.Add(1)
+		connect()
+		l.sleep(time.Second)
+	}
+	for l.ctx.Err() == nil {
+		l.sleep(time.Duration(l.pollEvery.Load()))
+		var s wire.JobStatus
+		status, err := client.Call(http.MethodGet, "/work/"+string(spec.ID), nil, 2*time.Second, map[int]any{http.StatusOK: &s})
+		l.polls.Add(1)
+		if s.Status.Final() {
+			return
+		}
+		if err != nil || status != http.StatusOK {
+			connect()
+		}
+	}
+}
+
+func (l *load) sleep(d time.Duration) {
+	select {
+	case <-l.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// submissionOf is a job as a user sends it, with every field that must be there.
+func submissionOf(spec wire.JobSpec) map[string]any {
+	return map[string]any{"id": spec.ID, "jobclass": spec.Class, "crew": spec.Team, "shape": spec.Shape, "rank": spec.Rank, "loads": spec.Tasks,
+		"cores": spec.Cores, "accelerators": 0, "mem_gb": spec.MemGB, "kit": spec.Image, "size_gb": spec.ImageGB, "together": false, "apart": false,
+		"loaners": false, "runtime_s": spec.RuntimeS, "savepoint_s": 0, "stash_s": 0}
+}
--- /dev/null
+++ b/cmd/lilacrill/load_profile_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"runtime/pprof"
+	"syscall"
+	"testing"
+)
+
+// profileVariable names the folder to which a controller of the load benchmark
+// writes its profiles. Set, it makes the test binary a controller.
+const profileVariable = "LILACRILL_LOAD_PROFILES"
+
+// TestMain runs the tests, or in a child of the load benchmark a controller.
+func TestMain(m *testing.M) {
+	dir := os.Getenv(profileVariable)
+	if dir == "" {
+		os.Exit(m.Run())
+	}
+	if err := profiledController(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// processCounts is what a controller says of itself at the end of a phase.
+type processCounts struct {
+	Allocations uint64
+	Bytes       uint64
+	Collections uint32
+	HeapMB      float64
+	SystemMB    float64
+}
+
+// profiledController runs the command line. At SIGUSR1 it closes the processor
+// profile of the phase that ends, and writes what it counted and its heap.
+func profiledController(dir string) error {
+	phase := 0
+	name := func(kind string) string {
+		return filepath.Join(dir, fmt.Sprintf("%d-%d.%s", os.Getpid(), phase, kind))
+	}
+	start := func() error {
+		out, err := os.Create(name("cpu"))
+		if err != nil {
+			return err
+		}
+		return pprof.StartCPUProfile(out)
+	}
+	if err := start(); err != nil {
+		return err
+	}
+	next := make(chan os.Signal, 1)
+	signal.Notify(next, syscall.SIGUSR1)
+	go func() {
+		for range next {
+			pprof.StopCPUProfile()
+			if err := writeCounts(name); err != nil {
+				panic(err)
+			}
+			phase++
+			if err := start(); err != nil {
+				panic(err)
+			}
+		}
+	}()
+	return rootCommand().Execute()
+}
+
+func writeCounts(name func(kind string) string) error {
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	heap, err := os.Create(name("heap"))
+	if err != nil {
+		return err
+	}
+	defer heap.Close()
+	if err := pprof.Lookup("heap").WriteTo(heap, 0); err != nil {
+		return err
+	}
+	const megabyte = 1 << 20
+	counts, err := json.Marshal(processCounts{Allocations: mem.Mallocs, Bytes: mem.TotalAlloc, Collections: mem.NumGC,
+		HeapMB: float64(mem.HeapAlloc) / megabyte, SystemMB: float64(mem.Sys) / megabyte})
+	if err != nil {
+		return err
+	}
+	// Renamed into place, so that who waits for it never reads half of it.
+	partial := name("partial")
+	if err := os.WriteFile(partial, counts, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(partial, name("json"))
+}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -136,7 +138,11 @@
 }
 
 // CloudServer is a cloud over HTTP with a catalogue and no machine to rent.
-type CloudServer struct{ Types []wire.MachineType }
+type CloudServer struct {
+	Types []wire.MachineType
+	// Listed, unless nil, is the machines that were rented before, in any order.
+	Listed func() []wire.ListedMachine
+}
 
 // ServeHTTP implements http.Handler.
 func (s CloudServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -144,10 +150,29 @@
 	case r.URL.Path == "/catalog":
 		answer(w, http.StatusOK, wire.Catalogue{Types: s.Types})
 	case r.URL.Path == "/hosts" && r.Method == http.MethodGet:
-		answer(w, http.StatusOK, wire.MachineList{Machines: []wire.ListedMachine{}})
+		answer(w, http.StatusOK, s.page(r))
 	case r.URL.Path == "/hosts":
 		answer(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
 	default:
 		answer(w, http.StatusOK, struct{}{})
 	}
 }
+
+// page is the part of the machine list that a request asks for.
+func (s CloudServer) page(r *http.Request) wire.MachineList {
+	list := wire.MachineList{Machines: []wire.ListedMachine{}}
+	if s.Listed == nil {
+		return list
+	}
+	after := wire.MachineID(r.URL.Query().Get("after"))
+	for _, m := range s.Listed() {
+		if m.ID > after {
+			list.Machines = append(list.Machines, m)
+		}
+	}
+	slices.SortFunc(list.Machines, func(a, b wire.ListedMachine) int { return cmp.Compare(a.ID, b.ID) })
+	if most, err := strconv.Atoi(r.URL.Query().Get("page")); err == nil && most < len(list.Machines) {
+		list.Machines, list.More = list.Machines[:most], true
+	}
+	return list
+}
--- /dev/null
+++ b/internal/standin/loopback.go
@@ -0,0 +1,249 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"lilacrill/internal/httpcall"
+	"lilacrill/wire"
+)
+
+// LoopbackWorkers are workers on the real clock: each has a loopback address of its
+// own, reports to one controller over one connection, and runs what it is told to.
+// All share one listener, which tells them apart by the address that was called.
+type LoopbackWorkers struct {
+	settings LoopbackSettings
+	port     int
+	runtime  sync.Map // wire.JobID to time.Duration; 0 for a service
+
+	mu      sync.Mutex
+	workers map[string]*loopbackWorker // by address
+}
+
+// LoopbackSettings sizes the workers.
+type LoopbackSettings struct {
+	Controllers []string // public addresses
+	ReportEvery time.Duration
+	Zones       []string
+	Types       []wire.MachineType
+}
+
+// loopbackFetch is how long a worker takes to fetch an image.
+const loopbackFetch = 200 * time.Millisecond
+
+// leastReportPause is the least time between two reports of a worker.
+const leastReportPause = 500 * time.Millisecond
+
+// StartLoopbackWorkers starts count workers that run until ctx ends.
+func StartLoopbackWorkers(ctx context.Context, settings LoopbackSettings, count int) (*LoopbackWorkers, error) {
+	listener, err := net.Listen("tcp4", "0.0.0.0:0")
+	if err != nil {
+		return nil, err
+	}
+	w := &LoopbackWorkers{settings: settings, port: listener.Addr().(*net.TCPAddr).Port, workers: map[string]*loopbackWorker{}}
+	server := &http.Server{Handler: w}
+	go func() { _ = server.Serve(listener) }()
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	for i := range count {
+		kind := settings.Types[i%len(settings.Types)]
+		worker := &loopbackWorker{
+			fleet:      w,
+			id:         wire.MachineID(fmt.Sprintf("m-%06d", i+1)),
+			addr:       fmt.Sprintf("127.1.%d.%d:%d", i/200, i%200+1, w.port),
+			kind:       kind.Name,
+			zone:       settings.Zones[i/len(settings.Types)%len(settings.Zones)],
+			controller: i % len(settings.Controllers),
+			changed:    make(chan struct{}, 1),
+			tasks:      map[taskKey]*wire.TaskReport{},
+		}
+		w.workers[worker.addr] = worker
+		go worker.reportLoop(ctx)
+	}
+	return w, nil
+}
+
+// Know tells the workers how long a task of a job runs; 0 is until it is stopped.
+func (w *LoopbackWorkers) Know(id wire.JobID, runtime time.Duration) { w.runtime.Store(id, runtime) }
+
+// Listed is the machine list that a cloud would show of the workers.
+func (w *LoopbackWorkers) Listed() []wire.ListedMachine {
+	var list []wire.ListedMachine
+	for _, worker := range w.workers {
+		list = append(list, wire.ListedMachine{ID: worker.id, Addr: worker.addr, Type: worker.kind, Zone: worker.zone, Status: wire.MachineRunning})
+	}
+	return list
+}
+
+// CutZone makes the workers of a zone unreachable: they neither report nor answer.
+func (w *LoopbackWorkers) CutZone(zone string, cut bool) {
+	for _, worker := range w.workers {
+		if worker.zone == zone {
+			worker.mu.Lock()
+			worker.cut = cut
+			worker.mu.Unlock()
+		}
+	}
+}
+
+// ServeHTTP answers direct calls to the workers.
+func (w *LoopbackWorkers) ServeHTTP(out http.ResponseWriter, in *http.Request) {
+	worker := w.workers[in.Host]
+	if worker == nil || worker.unreachable() {
+		panic(http.ErrAbortHandler)
+	}
+	if in.URL.Path == "/show" {
+		answer(out, http.StatusOK, worker.report())
+		return
+	}
+	var body wire.DoRequest
+	if json.NewDecoder(in.Body).Decode(&body) != nil {
+		answer(out, http.StatusBadRequest, wire.Problem{Error: "malformed"})
+		return
+	}
+	status := http.StatusOK
+	if !worker.do(body) {
+		status = http.StatusConflict
+	}
+	answer(out, status, worker.report())
+}
+
+// loopbackWorker is one of them.
+type loopbackWorker struct {
+	fleet      *LoopbackWorkers
+	id         wire.MachineID
+	addr       string
+	kind, zone string
+	controller int
+	changed    chan struct{} // holds an element if a report is due at once
+
+	mu    sync.Mutex
+	cut   bool
+	tally wire.Tally
+	token wire.FencingToken
+	tasks map[taskKey]*wire.TaskReport
+}
+
+func (w *loopbackWorker) unreachable() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
+func (w *loopbackWorker) report() *wire.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tally++
+	r := &wire.Report{Machine: w.id, Addr: w.addr, Type: w.kind, Zone: w.zone, Shift: 1, Tally: w.tally, Token: w.token}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, *t)
+	}
+	return r
+}
+
+// do obeys a direct command unless its token is too low.
+func (w *loopbackWorker) do(body wire.DoRequest) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if body.Token < w.token {
+		return false
+	}
+	w.token = body.Token
+	w.obey(body.Orders)
+	return true
+}
+
+// reportLoop sends reports until ctx ends.
+func (w *loopbackWorker) reportLoop(ctx context.Context) {
+	every := float64(w.fleet.settings.ReportEvery)
+	timer := time.NewTimer(time.Duration(rand.Float64() * every))
+	defer timer.Stop()
+	client := w.client()
+	for {
+		select {
+		case <-ctx.Done():
+			client.Close()
+			return
+		case <-timer.C:
+		case <-w.changed:
+		}
+		pause := time.Duration(every * (0.75 + rand.Float64()/2))
+		if !w.unreachable() && !w.sendReport(client) {
+			client.Close()
+			w.controller = (w.controller + 1) % len(w.fleet.settings.Controllers)
+			client = w.client()
+			pause = time.Second
+		}
+		timer.Reset(pause)
+		time.Sleep(leastReportPause)
+	}
+}
+
+func (w *loopbackWorker) client() *httpcall.Client {
+	return httpcall.New(w.fleet.settings.Controllers[w.controller], 1, time.Minute)
+}
+
+func (w *loopbackWorker) sendReport(client *httpcall.Client) bool {
+	var a wire.ReportAnswer
+	status, err := client.Call(http.MethodPost, "/hello", w.report(), 4*time.Second, map[int]any{http.StatusOK: &a})
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a.Token >= w.token {
+		w.token = a.Token
+		w.obey(a.Orders)
+	}
+	return true
+}
+
+// obey is called with the lock held.
+func (w *loopbackWorker) obey(orders []wire.Order) {
+	for _, o := range orders {
+		key := taskKey{o.Task, o.Attempt}
+		t := w.tasks[key]
+		switch {
+		case o.Verb == wire.VerbLaunch && t == nil:
+			w.tasks[key] = &wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskPulling}
+			time.AfterFunc(loopbackFetch, func() { w.start(key) })
+		case o.Verb == wire.VerbStop && t != nil && t.State != wire.TaskExited:
+			t.State, t.Cause = wire.TaskExited, wire.CauseHalted
+		case o.Verb == wire.VerbClear && t != nil && t.State == wire.TaskExited:
+			delete(w.tasks, key)
+		}
+	}
+}
+
+func (w *loopbackWorker) start(key taskKey) {
+	w.move(key, wire.TaskPulling, wire.TaskRunning, "")
+	if runtime, known := w.fleet.runtime.Load(key.id.Job); known && runtime.(time.Duration) > 0 {
+		time.AfterFunc(runtime.(time.Duration), func() { w.move(key, wire.TaskRunning, wire.TaskExited, wire.CauseDone) })
+	}
+}
+
+// move takes a task from one state to another and has that reported soon.
+func (w *loopbackWorker) move(key taskKey, from, to wire.TaskState, cause wire.Cause) {
+	w.mu.Lock()
+	t := w.tasks[key]
+	moved := t != nil && t.State == from
+	if moved {
+		t.State, t.Cause = to, cause
+	}
+	w.mu.Unlock()
+	if !moved {
+		return
+	}
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
