--- a/cmd/lilacrill/admin.go
+++ b/cmd/lilacrill/admin.go
@@ -61,7 +61,7 @@
 				if err != nil {
 					return err
 				}
-				return show(cmd.OutOrStdout(), answer)
+				return requestReport(cmd.OutOrStdout(), answer)
 			},
 		})
 	}
@@ -92,11 +92,11 @@
 				}
 				version = uint64(now.Version)
 			}
-			answer, err := c.Change(wire.AdminSettings{Version: wire.Ledger(version), Settings: changes})
+			answer, err := c.Change(wire.AdminSettings{Version: wire.Revision(version), Settings: changes})
 			if err != nil {
 				return err
 			}
-			return show(cmd.OutOrStdout(), answer)
+			return requestReport(cmd.OutOrStdout(), answer)
 		},
 	}
 	set.Flags().Uint64Var(&version, "version", 0, "the `VERSION` that the change was made from")
@@ -126,7 +126,7 @@
 	return json.Marshal(fields)
 }
 
-func show(w io.Writer, answer json.RawMessage) error {
+func requestReport(w io.Writer, answer json.RawMessage) error {
 	var b bytes.Buffer
 	if err := json.Indent(&b, answer, "", "  "); err != nil {
 		return fmt.Errorf("answer not understood: %w", err)
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -13,10 +13,10 @@
 // changed the defaults.
 type operator struct {
 	chosen  config.Operator
-	version wire.Ledger
+	version wire.Revision
 }
 
-func (c *Core) applySettings(value json.RawMessage, stamp wire.Ledger) error {
+func (c *Core) applySettings(value json.RawMessage, version wire.Revision) error {
 	chosen, err := config.DefaultOperator(), error(nil)
 	if value != nil {
 		// Values that a newer release stored and this one does not know make it
@@ -25,8 +25,8 @@
 			return err
 		}
 	}
-	c.chosen, c.version, c.dirty = chosen, stamp, true
-	c.log.Info("operators' settings apply", "version", stamp, "settings", string(value))
+	c.chosen, c.version, c.dirty = chosen, version, true
+	c.log.Info("operators' settings apply", "version", version, "settings", string(value))
 	return nil
 }
 
@@ -98,7 +98,7 @@
 			return
 		}
 		c.commit(ClassAccept, wire.Transaction{
-			If:   []wire.Condition{{Key: settingsKey, Stamp: c.ver[settingsKey]}},
+			If:   []wire.Condition{{Key: settingsKey, Version: c.keyVersions[settingsKey]}},
 			Then: []wire.Change{put(settingsKey, next)},
 		}, func(r Committed) {
 			switch r.Outcome {
@@ -114,15 +114,15 @@
 }
 
 func (c *Core) viewControllers() []wire.AdminController {
-	out := []wire.AdminController{{Label: c.set.Label, Boot: c.boot, Alive: true, Buyer: c.buyer == c.boot, Self: true,
-		State: c.stateFresh(), Heard: true, Hears: true, Isolated: c.isolated(), Ledger: c.feed, Token: c.token,
+	out := []wire.AdminController{{Label: c.settings.Label, Boot: c.boot, Alive: true, Buyer: c.buyer == c.boot, Self: true,
+		State: c.stateFresh(), Heard: true, Hears: true, Isolated: c.isolated(), Revision: c.feed, Token: c.token,
 		InStepS: c.now.Sub(c.inStep).Seconds(), KnownS: c.now.Sub(c.known()).Seconds(), Renews: c.now.Sub(c.known()) <= c.cancelSlack(),
 		LateS: c.lag * TickEvery.Seconds()}}
-	for _, s := range c.set.Siblings {
+	for _, s := range c.settings.Siblings {
 		boot, alive := c.nodes[s.Label]
 		p := c.peers[s.Label]
 		out = append(out, wire.AdminController{Label: s.Label, Boot: boot, Alive: alive, Buyer: alive && c.buyer == boot,
-			State: p != nil && p.fresh && c.now.Sub(p.heard) < 3*beatEvery,
+			State: p != nil && p.fresh && c.now.Sub(p.heard) < 3*heartbeatEvery,
 			Heard: p != nil && c.now.Sub(p.heard) <= peerSilence, Hears: p != nil && c.now.Sub(p.echoed) <= echoSilence,
 			Isolated: c.isolatedNodes[s.Label]})
 	}
@@ -131,10 +131,10 @@
 
 func (c *Core) viewTeams() []wire.AdminTeam {
 	var out []wire.AdminTeam
-	for i := range c.set.Cluster.Teams {
-		s := &c.set.Cluster.Teams[i]
+	for i := range c.settings.Cluster.Teams {
+		s := &c.settings.Cluster.Teams[i]
 		t := c.teamOf(s.Name)
-		v := wire.AdminTeam{Name: s.Name, Steward: c.steward(s.Name), CPUsGuaranteed: s.CPUs, CPUsMax: s.CPUsMax,
+		v := wire.AdminTeam{Name: s.Name, Steward: c.teamOwner(s.Name), CPUsGuaranteed: s.CPUs, CPUsMax: s.CPUsMax,
 			GPUsGuaranteed: s.GPUs, GPUsMax: s.GPUsMax, PlacementPages: len(t.pages), PlacementPaused: !c.after(t.placeFrom)}
 		var used placement.Amount
 		for _, p := range t.pages {
@@ -170,7 +170,7 @@
 		}
 		v := wire.AdminMachine{ID: m.id, Type: m.kind, Zone: m.zone, Spot: m.spot, Status: m.status,
 			SilentS: c.now.Sub(c.lastSign(m)).Seconds(), Faulty: !c.after(m.badUntil), Reserved: m.reserved,
-			Late: m.unborn() && m.status == wire.MachineBooting && !c.coming(m), Recalled: m.recallAt != 0}
+			Late: m.unborn() && m.status == wire.MachineBooting && !c.bootExpected(m), Recalled: m.recallAt != 0}
 		v.Doomed = c.leaving[m.id].why
 		for _, e := range m.entries {
 			v.Tasks += e.Tasks.Len()
--- a/internal/core/boots.go
+++ b/internal/core/boots.go
@@ -29,8 +29,8 @@
 	return m.newest == nil && !m.gone && m.status != wire.MachineFailed
 }
 
-// coming reports whether a rented machine may still be expected to come up soon.
-func (c *Core) coming(m *machine) bool {
+// bootExpected reports whether a rented machine may still be expected to come up soon.
+func (c *Core) bootExpected(m *machine) bool {
 	t := c.kind(m.kind)
 	if t == nil || !m.unborn() {
 		return false
@@ -90,7 +90,7 @@
 		}
 		key := capacity.Key{Type: m.kind, Zone: m.zone, Spot: m.spot}
 		waiting[key]++
-		if !c.coming(m) {
+		if !c.bootExpected(m) {
 			overdue[key]++
 		}
 	}
--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -40,11 +40,11 @@
 	if c.lists == 0 || len(c.catalogue) == 0 || c.hiring > 0 {
 		return
 	}
-	var coming placement.Fleet
+	var bootExpected placement.Fleet
 	for _, m := range c.inOrder() {
-		if c.coming(m) {
+		if c.bootExpected(m) {
 			o := capacity.Offer{Type: *c.kind(m.kind), Zone: m.zone, Spot: m.spot}
-			coming = append(coming, o.Host(m.id, maxPerHost))
+			bootExpected = append(bootExpected, o.Host(m.id, maxPerHost))
 		}
 	}
 	demands := c.demands()
@@ -54,12 +54,12 @@
 			demands = append(demands, s)
 		}
 	}
-	for i, p := range capacity.Plan(demands, coming, c.offers(), maxPerHost) {
+	for i, p := range capacity.Plan(demands, bootExpected, c.offers(), maxPerHost) {
 		if i == hiresAtOnce {
 			break
 		}
 		c.hire(wire.Hire{
-			Name: fmt.Sprintf("%s-%d", c.set.Label, c.serial()),
+			Name: fmt.Sprintf("%s-%d", c.settings.Label, c.serial()),
 			Type: p.Offer.Type.Name, Zone: p.Offer.Zone, Spot: p.Offer.Spot, Number: p.Number,
 		}, 3)
 	}
@@ -173,7 +173,7 @@
 // tooDear reports whether a machine is one that work in no hurry leaves alone.
 func (c *Core) tooDear(m *machine) bool {
 	t := c.kind(m.kind)
-	return t != nil && c.dearest > 0 && corePrice(t, m.spot) > c.dearest*(1+1e-9) && !c.pressing(m)
+	return t != nil && c.dearest > 0 && corePrice(t, m.spot) > c.dearest*(1+1e-9) && !c.hasCriticalTasks(m)
 }
 
 // dearMargin is how much more than the work that is known of the machines that
@@ -212,7 +212,7 @@
 		// Estimates are often wrong by half or more.
 		left = (j.spec.DueS - 2*j.spec.RuntimeS) * duePart / patientPart
 	}
-	for _, o := range c.set.Cluster.Objectives {
+	for _, o := range c.settings.Cluster.Objectives {
 		if o.Class != j.spec.Class {
 			continue
 		}
@@ -257,7 +257,7 @@
 	doubts := c.doubts()
 	for _, t := range c.catalogue {
 		for _, zone := range t.Zones {
-			if !slices.Contains(c.set.Cluster.Zones, zone) || c.isCut(zone) {
+			if !slices.Contains(c.settings.Cluster.Zones, zone) || c.isCut(zone) {
 				continue
 			}
 			for _, spot := range []bool{false, true} {
--- a/internal/core/cancellation.go
+++ b/internal/core/cancellation.go
@@ -22,24 +22,24 @@
 //	the worker.
 //
 // A controller knows of withdrawals by the feed (inStep), or by the word of all its
-// siblings: a vouch lists what the sender knows to be withdrawn, and what of ours it
+// siblings: an attestation lists what the sender knows to be withdrawn, and what of ours it
 // has heard, which bounds its age by our own clock however long a line was held up.
-// Who cannot vouch, because it ended, is cut off or has only just started, bounds
+// Who cannot attest, because it ended, is cut off or has only just started, bounds
 // the time: the lines may be lost at the cost of leases, never of the rule.
 
-// vouching is what this controller can say of withdrawals, and knows by its
+// cancellationKnowledge is what this controller can say of withdrawals, and knows by its
 // siblings' word.
-type vouching struct {
-	process   uint64 // tells this process from earlier ones of its label
-	inStep    Time   // the cache holds all that was written before
-	vouches   []Time // when the last vouches of ours were sent
-	vouched   uint64 // how many were
-	nextVouch Time
+type cancellationKnowledge struct {
+	process          uint64 // tells this process from earlier ones of its label
+	inStep           Time   // the cache holds all that was written before
+	attestationsSent []Time // when the last attestations of ours were sent
+	attested         uint64 // how many were
+	nextAttestation  Time
 
 	// withdrawn is the withdrawals that this cache has seen after the revision
 	// withdrawnFrom, by revision.
 	withdrawn     []wire.Withdrawal
-	withdrawnFrom wire.Ledger
+	withdrawnFrom wire.Revision
 
 	// overOn is the machines on which tasks of jobs that are over may stand, by the
 	// records, and the latest moment before which no user can have been told of it.
@@ -49,11 +49,11 @@
 }
 
 const (
-	vouchEvery = time.Second
-	// vouchAgain is the least time between vouches when there is news that a
+	attestEvery = time.Second
+	// attestAgain is the least time between attestations when there is news that a
 	// sibling cannot have.
-	vouchAgain  = 200 * time.Millisecond
-	vouchesKept = 128
+	attestAgain      = 200 * time.Millisecond
+	attestationsKept = 128
 	// mostWithdrawn bounds the withdrawals that are kept, and so a line.
 	mostWithdrawn = 600
 	// stepEvery is how often the feed is read at least, so that inStep is recent.
@@ -65,7 +65,7 @@
 	cancelMargin = 4 * time.Second
 )
 
-func (v *vouching) init(process uint64) {
+func (v *cancellationKnowledge) init(process uint64) {
 	v.process = process
 	v.renews = true
 	v.overOn = map[wire.MachineID]Time{}
@@ -75,7 +75,7 @@
 // keeps tasks alive for another lease. Where the settings leave no time, what was
 // known a moment ago must do.
 func (c *Core) cancelSlack() time.Duration {
-	w := &c.set.Cluster.Workers
+	w := &c.settings.Cluster.Workers
 	return max(config.Seconds(w.CancelS-w.LeaseS)-cancelMargin, launchStale)
 }
 
@@ -83,14 +83,14 @@
 // any controller may have told a user of.
 func (c *Core) known() Time {
 	least := c.now
-	for _, s := range c.set.Siblings {
+	for _, s := range c.settings.Siblings {
 		p := c.peers[s.Label]
 		// What an earlier process of a sibling told users is known only if the feed
 		// was read since a line of the present one came.
 		if p == nil || c.inStep < p.since {
 			return c.inStep
 		}
-		least = min(least, p.vouched)
+		least = min(least, p.attested)
 	}
 	return max(c.inStep, least)
 }
@@ -129,40 +129,40 @@
 // noteWithdrawn remembers a withdrawal for the siblings.
 func (c *Core) noteWithdrawn(w wire.Withdrawal) {
 	i, _ := slices.BinarySearchFunc(c.withdrawn, w, func(a, b wire.Withdrawal) int {
-		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), cmp.Compare(a.Job, b.Job))
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Job, b.Job))
 	})
 	c.withdrawn = slices.Insert(c.withdrawn, i, w)
 	if more := len(c.withdrawn) - mostWithdrawn; more > 0 {
-		c.forgetWithdrawn(c.withdrawn[more-1].Stamp)
+		c.forgetWithdrawn(c.withdrawn[more-1].Version)
 	}
 	for _, p := range c.peers {
 		if !p.fresh {
-			c.nextVouch = min(c.nextVouch, c.now.Add(vouchAgain)) // it cannot read of it
+			c.nextAttestation = min(c.nextAttestation, c.now.Add(attestAgain)) // it cannot read of it
 		}
 	}
 }
 
 // forgetWithdrawn drops the withdrawals up to a revision.
-func (c *Core) forgetWithdrawn(upTo wire.Ledger) {
+func (c *Core) forgetWithdrawn(upTo wire.Revision) {
 	c.withdrawnFrom = max(c.withdrawnFrom, upTo)
-	i, _ := slices.BinarySearchFunc(c.withdrawn, upTo+1, func(w wire.Withdrawal, l wire.Ledger) int {
-		return cmp.Compare(w.Stamp, l)
+	i, _ := slices.BinarySearchFunc(c.withdrawn, upTo+1, func(w wire.Withdrawal, l wire.Revision) int {
+		return cmp.Compare(w.Version, l)
 	})
 	c.withdrawn = slices.Delete(c.withdrawn, 0, i)
 }
 
-// vouch is this controller's word as of now. Only a process that has read nothing
+// attest is this controller's word as of now. Only a process that has read nothing
 // yet, and so told nobody anything, and one that holds everything can give it.
-func (c *Core) vouch() *wire.Vouch {
-	c.nextVouch = c.now.Add(vouchEvery)
-	c.vouched++
-	c.vouches = append(c.vouches, c.now)
-	if len(c.vouches) > vouchesKept {
-		c.vouches = c.vouches[1:]
+func (c *Core) attest() *wire.Attestation {
+	c.nextAttestation = c.now.Add(attestEvery)
+	c.attested++
+	c.attestationsSent = append(c.attestationsSent, c.now)
+	if len(c.attestationsSent) > attestationsKept {
+		c.attestationsSent = c.attestationsSent[1:]
 	}
-	v := &wire.Vouch{Process: c.process, Number: c.vouched, Ledger: c.feed}
-	lowest, listening := wire.Ledger(math.MaxUint64), wire.Ledger(math.MaxUint64)
-	for _, s := range c.set.Siblings {
+	v := &wire.Attestation{Process: c.process, Number: c.attested, Revision: c.feed}
+	lowest, listening := wire.Revision(math.MaxUint64), wire.Revision(math.MaxUint64)
+	for _, s := range c.settings.Siblings {
 		p := c.peers[s.Label]
 		if p == nil || p.process == 0 {
 			lowest = 0
@@ -172,43 +172,43 @@
 			v.Heard = map[string]wire.Echo{}
 		}
 		v.Heard[s.Label] = wire.Echo{Process: p.process, Number: p.number}
-		lowest = min(lowest, p.ledger)
+		lowest = min(lowest, p.revision)
 		if c.now.Sub(p.heard) <= peerSilence {
-			listening = min(listening, p.ledger)
+			listening = min(listening, p.revision)
 		}
 	}
 	c.forgetWithdrawn(min(lowest, c.feed))
 	v.From = max(c.withdrawnFrom, min(listening, c.feed))
 	for _, w := range c.withdrawn {
-		if w.Stamp > v.From {
+		if w.Version > v.From {
 			v.Withdrawn = append(v.Withdrawn, w)
 		}
 	}
 	return v
 }
 
-// vouchedFor takes a sibling's word.
-func (c *Core) vouchedFor(p *peerView, v *wire.Vouch) {
+// acceptAttestation takes a sibling's word.
+func (c *Core) acceptAttestation(p *peerView, v *wire.Attestation) {
 	if p.process != v.Process {
-		p.process, p.number, p.since, p.vouched = v.Process, 0, c.now, 0
+		p.process, p.number, p.since, p.attested = v.Process, 0, c.now, 0
 	}
 	p.number = max(p.number, v.Number)
-	p.ledger = max(p.ledger, v.Ledger)
+	p.revision = max(p.revision, v.Revision)
 	for _, w := range v.Withdrawn {
 		// What is not newer than the feed is known, or was moved since to a key of
 		// its own.
-		if w.Stamp > c.feed && c.loaded {
-			c.apply(jobKey(w.Job), encode(overRecord{finalRecord{wire.StatusWithdrawn, w.Done}}), w.Stamp)
+		if w.Version > c.feed && c.loaded {
+			c.apply(jobKey(w.Job), encode(overRecord{finalRecord{wire.StatusWithdrawn, w.Done}}), w.Version)
 		}
 	}
-	echo, ok := v.Heard[c.set.Label]
-	if !ok || echo.Process != c.process || echo.Number > c.vouched {
+	echo, ok := v.Heard[c.settings.Label]
+	if !ok || echo.Process != c.process || echo.Number > c.attested {
 		return
 	}
-	if i := len(c.vouches) - 1 - int(c.vouched-echo.Number); i >= 0 {
-		p.echoed = max(p.echoed, c.vouches[i])
+	if i := len(c.attestationsSent) - 1 - int(c.attested-echo.Number); i >= 0 {
+		p.echoed = max(p.echoed, c.attestationsSent[i])
 		if c.whole() && c.feed >= v.From {
-			p.vouched = max(p.vouched, c.vouches[i])
+			p.attested = max(p.attested, c.attestationsSent[i])
 		}
 	}
 }
@@ -223,7 +223,7 @@
 	}
 	c.overOn[id] = c.known()
 	if c.loading {
-		c.overOn[id] = c.now.Add(-config.Seconds(c.set.Cluster.Workers.CancelS))
+		c.overOn[id] = c.now.Add(-config.Seconds(c.settings.Cluster.Workers.CancelS))
 	}
 }
 
@@ -240,7 +240,7 @@
 		if m == nil || m.newest == nil {
 			return true, true, true
 		}
-		if m.newest.Shift > e.Shift || m.gone {
+		if m.newest.Session > e.Session || m.gone {
 			continue // its session is over, and what is under way is for that
 		}
 		for i := range e.Tasks.All {
@@ -281,11 +281,11 @@
 		if m.gone || !open {
 			continue
 		}
-		if c.after(m.pushAt) && !m.pushing && (!c.stateFresh() || c.tells(m)) {
-			c.push(m)
+		if c.after(m.nextOrders) && !m.sendingOrders && (!c.stateFresh() || c.tells(m)) {
+			c.sendOrders(m)
 		}
-		if m.newest == nil && m.addr != "" && !m.showing && c.after(m.showAt) && c.mayAsk() {
-			c.show(m) // it cannot be told before it was heard
+		if m.newest == nil && m.addr != "" && !m.requestingReport && c.after(m.nextReportRequest) && c.mayAsk() {
+			c.requestReport(m) // it cannot be told before it was heard
 		}
 		if c.cannotTell(m) && c.now.Sub(c.overOn[id]) > c.lastResort(m) && len(names) < wire.MaxReturn {
 			names = append(names, id)
@@ -300,7 +300,7 @@
 // is not known here, had time to report and did not.
 func (c *Core) cannotTell(m *machine) bool {
 	if m.addr == "" {
-		return c.now.Sub(max(m.first, c.readyAt, c.awake, c.hearing)) > config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+time.Second && !c.inDoubt()
+		return c.now.Sub(max(m.first, c.readyAt, c.awake, c.reachableSince)) > config.Seconds(1.25*c.settings.Cluster.Workers.ReportS)+time.Second && !c.inDoubt()
 	}
 	return m.unanswered >= unreachableCalls
 }
@@ -309,7 +309,7 @@
 // looks after a team of the ended work there, or the machine reports here.
 func (c *Core) tells(m *machine) bool {
 	return m.direct != nil && m.direct == m.newest ||
-		slices.ContainsFunc(m.entries, func(e *Entry) bool { return c.jobs[e.Job] == nil && c.mine(e.page.team) })
+		slices.ContainsFunc(m.entries, func(e *Entry) bool { return c.jobs[e.Job] == nil && c.ownsTeam(e.page.team) })
 }
 
 // lastResort is how long a machine that cannot be told may hold ended work before
@@ -323,7 +323,7 @@
 			part = lastPartBuyer
 		}
 	}
-	return config.Seconds(part * c.set.Cluster.Workers.CancelS)
+	return config.Seconds(part * c.settings.Cluster.Workers.CancelS)
 }
 
 // Of the time for a cancellation, how much may pass before a machine is returned
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -19,25 +19,25 @@
 	backlog []demand // tasks without room, as the last plan left them
 	lacking int      // tasks that the spare room falls short of
 
-	claiming    bool
-	vacant      Time // since when nobody is known to buy
-	listing     bool
-	nextList    Time
-	lists       int // good lists since this controller became the buyer
-	hiring      int
-	nextBuy     Time
-	refused     map[capacity.Key]refusal
-	returning   bool
-	returned    map[wire.MachineID]bool   // asked to be returned, so not to be kept
-	toReturn    map[wire.MachineID]string // to be written down as going, and why
-	cutZones    map[string]cut            // zones that seem to be cut off
-	dearest     float64                   // the price of a core above which machines are left alone; 0: not known
-	returnsCall bool                      // the list of them is being written
-	nextReturns Time
-	nextSpoil   Time
-	toldCloud   map[wire.MachineID]wire.MachineStatus // as the siblings were told
-	boots       map[string]boots                      // by type
-	silentAt    []Time                                // when machines were given up for their silence
+	claiming          bool
+	vacant            Time // since when nobody is known to buy
+	listing           bool
+	nextList          Time
+	lists             int // good lists since this controller became the buyer
+	hiring            int
+	nextBuy           Time
+	refused           map[capacity.Key]refusal
+	returning         bool
+	returned          map[wire.MachineID]bool   // asked to be returned, so not to be kept
+	toReturn          map[wire.MachineID]string // to be written down as going, and why
+	cutZones          map[string]cut            // zones that seem to be cut off
+	dearest           float64                   // the price of a core above which machines are left alone; 0: not known
+	returnsCall       bool                      // the list of them is being written
+	nextReturns       Time
+	nextMachineReview Time
+	toldCloud         map[wire.MachineID]wire.MachineStatus // as the siblings were told
+	boots             map[string]boots                      // by type
+	silentAt          []Time                                // when machines were given up for their silence
 }
 
 func (v *cloudView) init() {
@@ -49,26 +49,26 @@
 }
 
 const (
-	catalogueEvery = time.Minute
-	listEvery      = 2 * time.Second
-	buyEvery       = 300 * time.Millisecond
-	spoilEvery     = 200 * time.Millisecond
-	spoilMost      = 500 * time.Millisecond
-	returnsEvery   = 300 * time.Millisecond
-	claimPatience  = 3 * time.Second
-	refusalPause   = 5 * time.Second // doubled with every refusal in a row
-	refusalMost    = 40 * time.Second
-	hiresAtOnce    = 4
-	overPart       = 0.2 // of the time for a cancellation, that a machine may take to hear of it
-	overPartCut    = 0.5 // the same while it may be us who cannot be heard
-	askedBySome    = 2 * time.Second
-	cutLeast       = 5 // silent machines that a zone must have for replicas in it to be left alone
-	cutLeases      = 3
-	cutFor         = 40 * time.Second // after which a zone is tried again
-	silentWindow   = 10 * time.Second
-	silentLeast    = 4 // machines that may be given up in a window, however small the fleet
-	pressingPart   = 2 // of that, one half is kept for machines with critical tasks
-	silentPart     = 4 // and at least every fourth of those that report
+	catalogueEvery     = time.Minute
+	listEvery          = 2 * time.Second
+	buyEvery           = 300 * time.Millisecond
+	machineReviewEvery = 200 * time.Millisecond
+	machineReviewMost  = 500 * time.Millisecond
+	returnsEvery       = 300 * time.Millisecond
+	claimPatience      = 3 * time.Second
+	refusalPause       = 5 * time.Second // doubled with every refusal in a row
+	refusalMost        = 40 * time.Second
+	hiresAtOnce        = 4
+	overPart           = 0.2 // of the time for a cancellation, that a machine may take to hear of it
+	overPartCut        = 0.5 // the same while it may be us who cannot be heard
+	askedBySome        = 2 * time.Second
+	cutLeast           = 5 // silent machines that a zone must have for replicas in it to be left alone
+	cutLeases          = 3
+	cutFor             = 40 * time.Second // after which a zone is tried again
+	silentWindow       = 10 * time.Second
+	silentLeast        = 4 // machines that may be given up in a window, however small the fleet
+	criticalTasksPart  = 2 // of that, one half is kept for machines with critical tasks
+	silentPart         = 4 // and at least every fourth of those that report
 )
 
 func (c *Core) kind(name string) *wire.MachineType {
@@ -102,9 +102,9 @@
 	if !c.listing && c.after(c.nextList) {
 		c.list()
 	}
-	if c.after(c.nextSpoil) {
-		c.nextSpoil = c.now.Add(c.paced(spoilEvery, spoilMost))
-		c.spoil()
+	if c.after(c.nextMachineReview) {
+		c.nextMachineReview = c.now.Add(c.paced(machineReviewEvery, machineReviewMost))
+		c.reviewMachines()
 	}
 	c.writeReturns()
 	c.giveBack()
@@ -139,14 +139,14 @@
 	if c.vacant == 0 {
 		c.vacant = c.now
 	}
-	if c.claiming || c.permit == 0 || !c.enrolled || c.isolated() || !c.mine("buyer") && c.now.Sub(c.vacant) < claimPatience {
+	if c.claiming || c.leaseID == 0 || !c.enrolled || c.isolated() || !c.ownsTeam("buyer") && c.now.Sub(c.vacant) < claimPatience {
 		return
 	}
 	c.claiming = true
 	claim := put(buyerKey, c.boot)
-	claim.Permit = c.permit
+	claim.LeaseID = c.leaseID
 	c.commit(ClassRest, wire.Transaction{
-		If:   []wire.Condition{{Key: buyerKey, Stamp: c.ver[buyerKey]}},
+		If:   []wire.Condition{{Key: buyerKey, Version: c.keyVersions[buyerKey]}},
 		Then: []wire.Change{claim},
 	}, func(r Committed) {
 		c.claiming = false
@@ -163,13 +163,13 @@
 // cannot tell which machines are to be returned. If all are like this, nobody
 // can.
 func (c *Core) resign() {
-	if c.claiming || len(c.labels) == 0 || slices.Contains(c.labels, c.set.Label) {
+	if c.claiming || len(c.labels) == 0 || slices.Contains(c.labels, c.settings.Label) {
 		return
 	}
 	c.claiming = true
 	c.log.Info("this controller reaches no workers and leaves buying to another")
 	c.commit(ClassRest, wire.Transaction{
-		If:   []wire.Condition{{Key: buyerKey, Stamp: c.ver[buyerKey]}},
+		If:   []wire.Condition{{Key: buyerKey, Version: c.keyVersions[buyerKey]}},
 		Then: []wire.Change{{Drop: buyerKey}},
 	}, func(Committed) {
 		c.claiming = false
@@ -207,7 +207,7 @@
 	}
 	c.toldCloud = told
 	if len(news) > 0 {
-		c.do(Tell{&wire.PeerLine{From: c.set.Label, Cloud: news}})
+		c.do(Tell{&wire.PeerLine{From: c.settings.Label, Cloud: news}})
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,9 +16,9 @@
 
 // Core is the state of one controller.
 type Core struct {
-	set  *config.Settings
-	log  *slog.Logger
-	rand *rand.Rand
+	settings *config.Settings
+	log      *slog.Logger
+	rand     *rand.Rand
 
 	now  Time
 	wall int64 // Unix milliseconds
@@ -35,34 +35,34 @@
 	planner
 	operator
 	metrics
-	vouching
+	cancellationKnowledge
 	peers map[string]*peerView
 
-	lastStep Time
-	awake    Time // when this process last went on after standing still
-	nextBeat Time
-	nextTell Time
-	tellAll  bool // a sibling is new: tell it all that was heard
-	toTell   map[wire.MachineID]bool
+	lastStep      Time
+	awake         Time // when this process last went on after standing still
+	nextHeartbeat Time
+	nextTell      Time
+	tellAll       bool // a sibling is new: tell it all that was heard
+	toTell        map[wire.MachineID]bool
 }
 
 // New makes a controller that has just started.
-func New(set *config.Settings, log *slog.Logger, seed uint64) *Core {
+func New(settings *config.Settings, log *slog.Logger, seed uint64) *Core {
 	c := &Core{
-		set:   set,
-		log:   log,
-		rand:  rand.New(rand.NewPCG(seed, 0x6c696c61)),
-		calls: map[CallID]pending{},
-		peers: map[string]*peerView{},
+		settings: settings,
+		log:      log,
+		rand:     rand.New(rand.NewPCG(seed, 0x6c696c61)),
+		calls:    map[CallID]pending{},
+		peers:    map[string]*peerView{},
 
 		toTell: map[wire.MachineID]bool{},
 	}
 	c.store.init()
-	c.fleet.init(sockets.Share(set).Direct)
+	c.fleet.init(sockets.Share(settings).Direct)
 	c.cloudView.init()
 	c.planner.init()
 	c.metrics.init()
-	c.vouching.init(c.rand.Uint64())
+	c.cancellationKnowledge.init(c.rand.Uint64())
 	c.chosen = config.DefaultOperator()
 	return c
 }
@@ -91,7 +91,7 @@
 	case CancelAsked:
 		c.cancel(in.Request, in.Job)
 	case Reported:
-		c.hello(in)
+		c.handleReport(in)
 	case Returned:
 		if p, ok := c.calls[in.Call]; ok {
 			delete(c.calls, in.Call)
@@ -128,7 +128,7 @@
 			heard++
 		}
 	}
-	return 2*heard <= 1+len(c.set.Siblings) && c.now.Sub(c.readyAt) > echoSilence
+	return 2*heard <= 1+len(c.settings.Siblings) && c.now.Sub(c.readyAt) > echoSilence
 }
 
 func (c *Core) do(o Output) { c.out = append(c.out, o) }
@@ -167,7 +167,7 @@
 	if !c.ready {
 		return
 	}
-	c.beat()
+	c.sendHeartbeat()
 	c.tickFleet()
 	c.tickCloud()
 	c.tickGarbage()
@@ -178,17 +178,17 @@
 	heard Time
 	fresh bool
 
-	process uint64      // the one that last vouched
-	number  uint64      // its newest vouch
-	since   Time        // when the first of them came
-	ledger  wire.Ledger // up to which it knows all changes
-	echoed  Time        // when our newest vouch was sent that it has heard
-	vouched Time        // up to when all is known that it may have told users
+	process  uint64        // the one that last attested
+	number   uint64        // its newest attestation
+	since    Time          // when the first of them came
+	revision wire.Revision // up to which it knows all changes
+	echoed   Time          // when our newest attestation was sent that it has heard
+	attested Time          // up to when all is known that it may have told users
 }
 
 const (
-	// beatEvery is how often siblings tell one another that they are well.
-	beatEvery = time.Second
+	// heartbeatEvery is how often siblings tell one another that they are well.
+	heartbeatEvery = time.Second
 	// tellEvery is how often siblings are told what workers reported.
 	tellEvery      = 200 * time.Millisecond
 	reportsPerLine = 100
@@ -200,14 +200,14 @@
 	stateSilence = 2 * time.Second
 )
 
-// beat tells the siblings what was heard since the last time; if nothing was,
+// sendHeartbeat tells the siblings what was heard since the last time; if nothing was,
 // from time to time only that this controller lives.
-func (c *Core) beat() {
+func (c *Core) sendHeartbeat() {
 	if !c.after(c.nextTell) {
 		return
 	}
 	c.nextTell = c.now.Add(tellEvery)
-	line := &wire.PeerLine{From: c.set.Label, StateFresh: c.stateFresh()}
+	line := &wire.PeerLine{From: c.settings.Label, StateFresh: c.stateFresh()}
 	if c.tellAll {
 		c.tellAll = false
 		for id, m := range c.machines {
@@ -218,8 +218,8 @@
 		}
 		c.toldCloud = nil
 	}
-	if c.after(c.nextVouch) {
-		line.Vouch = c.vouch()
+	if c.after(c.nextAttestation) {
+		line.Attestation = c.attest()
 	}
 	for _, id := range sortedKeys(c.toTell) {
 		m := c.machines[id]
@@ -228,19 +228,19 @@
 		}
 		r := m.direct
 		if m.told != nil && sameReport(m.told, r) {
-			line.Heard = append(line.Heard, wire.Heard{Machine: id, Shift: r.Shift, Tally: r.Tally, Token: r.Token})
+			line.Heard = append(line.Heard, wire.Heard{Machine: id, Session: r.Session, Sequence: r.Sequence, Token: r.Token})
 		} else {
 			line.Reports = append(line.Reports, r)
 		}
 		m.told = r
 		if len(line.Reports) == reportsPerLine {
 			c.do(Tell{line})
-			line = &wire.PeerLine{From: c.set.Label, StateFresh: c.stateFresh()}
+			line = &wire.PeerLine{From: c.settings.Label, StateFresh: c.stateFresh()}
 		}
 	}
 	clear(c.toTell)
-	if len(line.Reports) > 0 || len(line.Heard) > 0 || line.Vouch != nil || c.after(c.nextBeat) {
-		c.nextBeat = c.now.Add(beatEvery)
+	if len(line.Reports) > 0 || len(line.Heard) > 0 || line.Attestation != nil || c.after(c.nextHeartbeat) {
+		c.nextHeartbeat = c.now.Add(heartbeatEvery)
 		c.do(Tell{line})
 	}
 }
@@ -248,7 +248,7 @@
 // sameReport reports whether nothing changed between two reports of a machine
 // but their number and the token.
 func sameReport(a, b *wire.Report) bool {
-	return a.Shift == b.Shift && a.RecallS == nil && b.RecallS == nil && a.Addr == b.Addr && slices.Equal(a.Tasks, b.Tasks)
+	return a.Session == b.Session && a.RecallS == nil && b.RecallS == nil && a.Addr == b.Addr && slices.Equal(a.Tasks, b.Tasks)
 }
 
 func (c *Core) stateFresh() bool { return c.now.Sub(c.stateOK) < stateSilence }
@@ -256,8 +256,8 @@
 // fresherPeer names a sibling that has the state service while this one has
 // not; "" if there is none.
 func (c *Core) fresherPeer() string {
-	for _, s := range c.set.Siblings {
-		if p := c.peers[s.Label]; p != nil && p.fresh && c.now.Sub(p.heard) < 2*beatEvery+beatEvery/2 {
+	for _, s := range c.settings.Siblings {
+		if p := c.peers[s.Label]; p != nil && p.fresh && c.now.Sub(p.heard) < 2*heartbeatEvery+heartbeatEvery/2 {
 			return s.Label
 		}
 	}
@@ -291,20 +291,20 @@
 		c.tellAll = true // it may be new, or have missed much
 	}
 	p.heard, p.fresh = c.now, l.StateFresh
-	if l.Vouch != nil {
-		c.vouchedFor(p, l.Vouch)
+	if l.Attestation != nil {
+		c.acceptAttestation(p, l.Attestation)
 	}
 }
 
 // peerSilence is how long a sibling may say nothing before it counts as lost.
-const peerSilence = 3 * beatEvery
+const peerSilence = 3 * heartbeatEvery
 
 // echoSilence is how long ago a sibling may have sent what it last heard of us
-// before it counts as lost: our vouch, and its own with the echo, take a turn each.
-const echoSilence = peerSilence + vouchEvery
+// before it counts as lost: our attestation, and its own with the echo, take a turn each.
+const echoSilence = peerSilence + attestEvery
 
 func (c *Core) sibling(label string) bool {
-	for _, s := range c.set.Siblings {
+	for _, s := range c.settings.Siblings {
 		if s.Label == label {
 			return true
 		}
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -66,23 +66,23 @@
 	}
 	c.nextFile = c.now.Add(fileEvery)
 	type old struct {
-		id    wire.JobID
-		stamp wire.Ledger
+		id      wire.JobID
+		version wire.Revision
 	}
 	oldest := make([]old, 0, len(c.over))
 	for id := range c.over {
-		oldest = append(oldest, old{id, c.ver[jobKey(id)]})
+		oldest = append(oldest, old{id, c.keyVersions[jobKey(id)]})
 	}
-	slices.SortFunc(oldest, func(a, b old) int { return cmp.Or(cmp.Compare(a.stamp, b.stamp), cmp.Compare(a.id, b.id)) })
+	slices.SortFunc(oldest, func(a, b old) int { return cmp.Or(cmp.Compare(a.version, b.version), cmp.Compare(a.id, b.id)) })
 	var txn wire.Transaction
 	for _, o := range oldest[:len(oldest)-mostOver] {
-		if len(txn.Then)+2 > min(c.set.Cluster.State.TxnOps, roundWrites) {
+		if len(txn.Then)+2 > min(c.settings.Cluster.State.TxnOps, roundWrites) {
 			break
 		}
-		if len(c.labels) > 0 && highest(c.labels, string(o.id)) != c.set.Label {
+		if len(c.labels) > 0 && highest(c.labels, string(o.id)) != c.settings.Label {
 			continue
 		}
-		txn.If = append(txn.If, wire.Condition{Key: jobKey(o.id), Stamp: o.stamp}, wire.Condition{Key: finalKey(o.id)})
+		txn.If = append(txn.If, wire.Condition{Key: jobKey(o.id), Version: o.version}, wire.Condition{Key: finalKey(o.id)})
 		txn.Then = append(txn.Then, put(finalKey(o.id), c.over[o.id]), wire.Change{Drop: jobKey(o.id)})
 	}
 	if len(txn.Then) == 0 {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -12,26 +12,26 @@
 
 // fleet is what this controller knows of the machines.
 type fleet struct {
-	machines    map[wire.MachineID]*machine
-	ordered     []*machine                  // by name; nil if that changed
-	imagesNoted map[wire.MachineID][]string // as the state service has them
-	imageShards map[int]map[wire.MachineID][]string
-	nextShard   int
-	labelSets   map[machineKind]placement.Tags
-	unheard     bool       // most machines leave our calls unanswered: it is us, not them
-	up          int        // machines that are up, as far as known
-	asking      int        // machines that are being asked for their report
-	arrivals    int        // workers that came to this controller since the last look
-	pushing     int        // machines that are being told their orders
-	callsAtOnce int        // direct calls to workers that may be under way at once
-	heldUrgent  []*machine // have orders, but too many calls are under way
-	heldRest    []*machine
-	noting      bool
-	lastDirect  Time // when a worker last spoke to this controller itself
-	hearing     Time // since when workers do, after a while in which none did
-	nextSound   Time
-	nextNote    Time
-	timeouts    []timeout
+	machines              map[wire.MachineID]*machine
+	ordered               []*machine                  // by name; nil if that changed
+	imagesNoted           map[wire.MachineID][]string // as the state service has them
+	imageShards           map[int]map[wire.MachineID][]string
+	nextShard             int
+	labelSets             map[machineKind]placement.Tags
+	unheard               bool       // most machines leave our calls unanswered: it is us, not them
+	up                    int        // machines that are up, as far as known
+	asking                int        // machines that are being asked for their report
+	arrivals              int        // workers that came to this controller since the last look
+	sendingOrders         int        // machines that are being told their orders
+	callsAtOnce           int        // direct calls to workers that may be under way at once
+	heldUrgent            []*machine // have orders, but too many calls are under way
+	heldRest              []*machine
+	noting                bool
+	lastDirect            Time // when a worker last spoke to this controller itself
+	reachableSince        Time // since when workers do, after a while in which none did
+	nextReachabilityProbe Time
+	nextNote              Time
+	timeouts              []timeout
 }
 
 type timeout struct {
@@ -88,23 +88,23 @@
 	unanswered       int          // direct calls without an answer since the last that had one, whatever it reports
 	unreachableSince Time         // when the first of them was made
 
-	pushing  bool
-	held     bool         // waits for its orders to be sent
-	holding  bool         // a launch is held back until the rest of its gang is nearer
-	settled  *wire.Report // the newest report if nothing has to be told that follows from it
-	again    bool         // something new came up while pushing
-	pushAt   Time         // not before
-	showing  bool
-	showAt   Time
-	probeAt  Time // when it is to be asked whether anything reaches it; 0: not at all
-	shows    int  // unanswered in a row
-	badUntil Time
-	faults   map[wire.JobID]Time
+	sendingOrders      bool
+	held               bool         // waits for its orders to be sent
+	holding            bool         // a launch is held back until the rest of its gang is nearer
+	settled            *wire.Report // the newest report if nothing has to be told that follows from it
+	again              bool         // something new came up while pushing
+	nextOrders         Time         // not before
+	requestingReport   bool
+	nextReportRequest  Time
+	probeAt            Time // when it is to be asked whether anything reaches it; 0: not at all
+	unansweredRequests int  // unanswered in a row
+	badUntil           Time
+	faults             map[wire.JobID]Time
 
-	uncleared map[attemptKey]wire.Ledger // exited tasks without an entry, and the revision that is known to lack it
-	lacking   map[attemptKey]Time        // tasks of entries that its reports lack, and since when
-	strays    map[attemptKey]Time        // running tasks without an entry, and since when
-	gone      bool                       // the cloud confirmed that it was returned
+	uncleared map[attemptKey]wire.Revision // exited tasks without an entry, and the revision that is known to lack it
+	lacking   map[attemptKey]Time          // tasks of entries that its reports lack, and since when
+	strays    map[attemptKey]Time          // running tasks without an entry, and since when
+	gone      bool                         // the cloud confirmed that it was returned
 	goneAt    Time
 	leftAt    Time // when it left the list of those to be returned: it is gone unless heard since
 	born      Time // when it was rented, as far as known
@@ -131,7 +131,7 @@
 			images:    map[string]Time{},
 			has:       map[string]bool{},
 			faults:    map[wire.JobID]Time{},
-			uncleared: map[attemptKey]wire.Ledger{},
+			uncleared: map[attemptKey]wire.Revision{},
 			strays:    map[attemptKey]Time{},
 			lacking:   map[attemptKey]Time{},
 		}
@@ -174,8 +174,8 @@
 func (m *machine) left() bool { return m.gone || m.leftAt > m.heard }
 
 const (
-	pushRetry = time.Second
-	showRetry = 900 * time.Millisecond
+	ordersRetry        = time.Second
+	reportRequestRetry = 900 * time.Millisecond
 	// nextLookEvery is how often all machines are looked at.
 	nextLookEvery = 200 * time.Millisecond
 	forgetAfter   = 2 * time.Minute
@@ -203,7 +203,7 @@
 	c.nextLook = c.now.Add(nextLookEvery)
 	c.arrivals = 0
 	c.tickOver()
-	c.sound()
+	c.probeReachability()
 	uncleared, oldest := 0, false
 	unreachable, reporting := 0, 0
 	c.up = 0
@@ -227,10 +227,10 @@
 				unreachable++
 			}
 		}
-		if m.settled != m.newest && c.after(m.pushAt) && quiet < c.silentAsk(m) {
+		if m.settled != m.newest && c.after(m.nextOrders) && quiet < c.silentAsk(m) {
 			for _, e := range m.entries {
 				if e.Launcher == c.boot && e.Halt == HaltNo {
-					if c.push(m) {
+					if c.sendOrders(m) {
 						c.count(countResent, 1)
 					}
 					break
@@ -242,10 +242,10 @@
 		}
 		// Ask a silent worker itself: it may have lost its way to us. So is one
 		// that left a call unanswered, though its reports go on.
-		if m.addr != "" && m.status != wire.MachineBooting && !m.showing && c.after(m.showAt) && c.mayAsk() &&
+		if m.addr != "" && m.status != wire.MachineBooting && !m.requestingReport && c.after(m.nextReportRequest) && c.mayAsk() &&
 			(m.unanswered > 0 || m.probeDue(c.now) || quiet > c.silentAsk(m) && c.asks(m, quiet)) {
 			m.probeAt = 0
-			c.show(m)
+			c.requestReport(m)
 		}
 	}
 	c.unheard = unreachable > 2 && 3*unreachable > reporting
--- a/internal/core/gangs.go
+++ b/internal/core/gangs.go
@@ -16,7 +16,7 @@
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
 		r := rounds[j.spec.Team]
-		if j.spec.Shape != wire.ShapeGang || r == nil || !c.mine(j.spec.Team) || !c.fits(r, 4) {
+		if j.spec.Shape != wire.ShapeGang || r == nil || !c.ownsTeam(j.spec.Team) || !c.fits(r, 4) {
 			continue
 		}
 		if r.ends[id] {
@@ -73,7 +73,7 @@
 	}
 	zones := []string{""}
 	if j.spec.Together {
-		zones = c.set.Cluster.Zones
+		zones = c.settings.Cluster.Zones
 	}
 	open := slices.DeleteFunc(slices.Clone(zones), func(z string) bool { return p.gathering[z] })
 	gathers := len(open) > 0
@@ -137,7 +137,7 @@
 	if e.Shape != wire.ShapeGang || j.spec.Tasks < 2 {
 		return false
 	}
-	patience := config.Seconds(c.set.Cluster.Workers.GangWaitS / 2)
+	patience := config.Seconds(c.settings.Cluster.Workers.GangWaitS / 2)
 	most := c.gangFetch(j, e.Attempt)
 	if most <= patience {
 		return false
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -13,25 +13,25 @@
 // known, or that we have had no chance to hear yet, as when this process stood
 // still itself, is not silent.
 func (c *Core) lastSign(m *machine) Time {
-	return max(m.heard, m.first, c.readyAt, c.awake, c.hearing)
+	return max(m.heard, m.first, c.readyAt, c.awake, c.reachableSince)
 }
 
 // silentAsk is how long a worker may be silent before it is asked: its reports
 // come every so often, give or take a quarter. Where tasks stand that somebody
 // waits for at every moment, reports may be too far apart to wait for the next.
 func (c *Core) silentAsk(m *machine) time.Duration {
-	usual := config.Seconds(1.3 * c.set.Cluster.Workers.ReportS)
+	usual := config.Seconds(1.3 * c.settings.Cluster.Workers.ReportS)
 	switch {
-	case c.pressing(m):
-		return min(usual, pressingAsk)
+	case c.hasCriticalTasks(m):
+		return min(usual, criticalTasksAsk)
 	case c.losesController(m):
 		return usual + workerPatience + workerPause
 	}
 	return usual
 }
 
-// pressing reports whether critical tasks stand on a machine.
-func (c *Core) pressing(m *machine) bool { return c.critical[m.id] > 0 }
+// hasCriticalTasks reports whether critical tasks stand on a machine.
+func (c *Core) hasCriticalTasks(m *machine) bool { return c.critical[m.id] > 0 }
 
 // asks reports whether it is up to this controller to ask a machine: one of the
 // living does, by the machine's name, and the buyer a little later, since it
@@ -39,18 +39,18 @@
 // passed on: each then asks for itself, or it would take most machines for
 // silent after a while, and place nothing on them.
 func (c *Core) asks(m *machine, quiet time.Duration) bool {
-	if quiet > config.Seconds(1.3*c.set.Cluster.Workers.ReportS) && !c.siblingsWell() {
+	if quiet > config.Seconds(1.3*c.settings.Cluster.Workers.ReportS) && !c.siblingsWell() {
 		return true
 	}
 	if c.buyer == c.boot && quiet > c.silentAsk(m)+buyerAsk {
 		return true
 	}
-	return len(c.labels) == 0 || highest(c.labels, string(m.id)) == c.set.Label
+	return len(c.labels) == 0 || highest(c.labels, string(m.id)) == c.settings.Label
 }
 
 const (
-	pressingAsk = 1500 * time.Millisecond
-	buyerAsk    = 500 * time.Millisecond
+	criticalTasksAsk = 1500 * time.Millisecond
+	buyerAsk         = 500 * time.Millisecond
 	// Of the direct calls that may be under way, one in asksPart is for asking,
 	// and one in urgentPart is kept for orders to machines with critical tasks.
 	asksPart, urgentPart = 4, 4
@@ -72,7 +72,7 @@
 	m := c.machineOf(r.Machine)
 	if direct {
 		if c.inDoubt() {
-			c.hearing = c.now
+			c.reachableSince = c.now
 		}
 		c.lastDirect = c.now
 		c.toTell[m.id] = true
@@ -96,7 +96,7 @@
 	// A report that only says that the machine is still there changes no plan.
 	c.dirty = c.dirty || first || !sameReport(m.newest, r) || !c.reports(m)
 	c.backFrom(m)
-	m.newest, m.tasks, m.heard, m.shows = r, tasksOf(r), c.now, 0
+	m.newest, m.tasks, m.heard, m.unansweredRequests = r, tasksOf(r), c.now, 0
 	m.addr, m.kind, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
 	if first {
 		c.cameUp(m)
@@ -134,7 +134,7 @@
 // backFrom is called when a machine is heard. What it left unanswered while
 // nothing came from it either does not show that it hears nothing.
 func (c *Core) backFrom(m *machine) {
-	if c.now.Sub(m.heard) > config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+reportSlack {
+	if c.now.Sub(m.heard) > config.Seconds(1.25*c.settings.Cluster.Workers.ReportS)+reportSlack {
 		m.unanswered = 0
 	}
 }
@@ -143,33 +143,33 @@
 // reported before.
 func (c *Core) heardAgain(h *wire.Heard) {
 	m := c.machines[h.Machine]
-	if m == nil || m.newest == nil || m.newest.Shift != h.Shift || m.newest.Tally >= h.Tally {
+	if m == nil || m.newest == nil || m.newest.Session != h.Session || m.newest.Sequence >= h.Sequence {
 		return
 	}
 	c.backFrom(m)
 	r := *m.newest
-	r.Tally, r.Token = h.Tally, h.Token
-	m.newest, m.heard, m.shows = &r, c.now, 0
+	r.Sequence, r.Token = h.Sequence, h.Token
+	m.newest, m.heard, m.unansweredRequests = &r, c.now, 0
 	if c.ready {
 		c.confirm(m)
 	}
 }
 
 // confirm asks a machine itself when a passed-on report hints at something that
-// this controller, as a steward, should write down: hints prove nothing.
+// this controller, as its owner, should write down: hints prove nothing.
 func (c *Core) confirm(m *machine) {
-	if m.showing || m.direct == m.newest || !c.after(m.showAt) || !c.mayAsk() {
+	if m.requestingReport || m.direct == m.newest || !c.after(m.nextReportRequest) || !c.mayAsk() {
 		return
 	}
 	for _, e := range m.entries {
-		if !c.mine(e.page.team) {
+		if !c.ownsTeam(e.page.team) {
 			continue
 		}
 		for i := range e.Tasks.All {
 			t := m.tasks[e.key(i)]
-			if t == nil && (e.Halt != HaltNo || c.jobs[e.Job] == nil || !c.live(e.Launcher) || m.newest.Shift > e.Shift) ||
+			if t == nil && (e.Halt != HaltNo || c.jobs[e.Job] == nil || !c.live(e.Launcher) || m.newest.Session > e.Session) ||
 				t != nil && t.State == wire.TaskExited {
-				c.show(m)
+				c.requestReport(m)
 				return
 			}
 		}
@@ -180,18 +180,18 @@
 // calls to them would pile up otherwise, with a socket each.
 func (c *Core) mayAsk() bool { return c.asking < max(1, c.callsAtOnce/asksPart) }
 
-// show asks a worker for its report.
-func (c *Core) show(m *machine) {
-	m.showing = true
-	m.showAt = c.now.Add(m.probePause())
+// requestReport asks a worker for its report.
+func (c *Core) requestReport(m *machine) {
+	m.requestingReport = true
+	m.nextReportRequest = c.now.Add(m.probePause())
 	c.asking++
 	c.count(countProbes, 1)
 	asked := c.now
 	c.do(Show{call(c, func(a Answered) {
-		m.showing = false
+		m.requestingReport = false
 		c.asking--
 		if a.Report == nil {
-			m.shows++
+			m.unansweredRequests++
 		}
 		c.reached(m, asked, a)
 		c.answered(m, a)
@@ -205,10 +205,10 @@
 		m.unanswered = 0
 		return
 	}
-	if asked < c.hearing {
+	if asked < c.reachableSince {
 		return // it was us
 	}
-	if m.unanswered == 0 || m.unreachableSince < c.hearing {
+	if m.unanswered == 0 || m.unreachableSince < c.reachableSince {
 		m.unreachableSince, m.unanswered = asked, 0
 	}
 	m.unanswered++
@@ -247,35 +247,35 @@
 func (c *Core) inDoubt() bool { return c.now.Sub(max(c.lastDirect, c.readyAt, c.awake)) > doubtAfter }
 
 const (
-	soundAfter    = 500 * time.Millisecond
-	soundEvery    = 300 * time.Millisecond
-	soundKnown    = 4 // machines heard last, of which one is asked
-	doubtAfter    = 1500 * time.Millisecond
-	isolatedAfter = 3 * time.Second
+	reachabilityProbeAfter      = 500 * time.Millisecond
+	reachabilityProbeEvery      = 300 * time.Millisecond
+	reachabilityProbeCandidates = 4 // machines heard last, of which one is asked
+	doubtAfter                  = 1500 * time.Millisecond
+	isolatedAfter               = 3 * time.Second
 )
 
-// sound asks some worker for its report when none has spoken to us for a while:
+// probeReachability asks some worker for its report when none has spoken to us for a while:
 // they may all report to others, or we may be cut off.
-func (c *Core) sound() {
-	if c.now.Sub(max(c.lastDirect, c.readyAt)) < soundAfter || !c.after(c.nextSound) {
+func (c *Core) probeReachability() {
+	if c.now.Sub(max(c.lastDirect, c.readyAt)) < reachabilityProbeAfter || !c.after(c.nextReachabilityProbe) {
 		return
 	}
-	c.nextSound = c.now.Add(soundEvery)
+	c.nextReachabilityProbe = c.now.Add(reachabilityProbeEvery)
 	var known []*machine // the ones heard last, in order
 	for _, m := range c.inOrder() {
-		if m.addr == "" || m.gone || m.showing || c.now.Sub(m.heard) >= forgetAfter || m.newest == nil {
+		if m.addr == "" || m.gone || m.requestingReport || c.now.Sub(m.heard) >= forgetAfter || m.newest == nil {
 			continue
 		}
 		// One that answers is as good as any other; one that did not may be dead.
 		i, _ := slices.BinarySearchFunc(known, m, func(a, b *machine) int {
 			return cmp.Or(cmp.Compare(a.unanswered, b.unanswered), -cmp.Compare(a.heard, b.heard))
 		})
-		if i < soundKnown {
+		if i < reachabilityProbeCandidates {
 			known = slices.Insert(known, i, m)
-			known = known[:min(len(known), soundKnown)]
+			known = known[:min(len(known), reachabilityProbeCandidates)]
 		}
 	}
 	if len(known) > 0 {
-		c.show(known[c.rand.IntN(len(known))])
+		c.requestReport(known[c.rand.IntN(len(known))])
 	}
 }
--- a/internal/core/index.go
+++ b/internal/core/index.go
@@ -191,10 +191,10 @@
 	if m.unreachable() && !c.unheard {
 		return false
 	}
-	return c.reports(m) && slices.Contains(c.set.Cluster.Zones, m.zone)
+	return c.reports(m) && slices.Contains(c.settings.Cluster.Zones, m.zone)
 }
 
 // reports reports whether a machine was heard within its reporting interval.
 func (c *Core) reports(m *machine) bool {
-	return c.now.Sub(m.heard) < config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+reportSlack
+	return c.now.Sub(m.heard) < config.Seconds(1.25*c.settings.Cluster.Workers.ReportS)+reportSlack
 }
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -106,7 +106,7 @@
 		Call  CallID
 		Class Class
 		Under string
-		After wire.Ledger
+		After wire.Revision
 		Block time.Duration
 	}
 	// Fetch reads one key; the result is a Fetched.
@@ -127,8 +127,8 @@
 	}
 	// Extend renews a lease; the result is a Granted.
 	Extend struct {
-		Call   CallID
-		Permit wire.Permit
+		Call    CallID
+		LeaseID wire.LeaseID
 	}
 	// Share tells what part of the state service's limits this controller may
 	// use.
@@ -188,7 +188,7 @@
 		Outcome Outcome
 		Entries []wire.Entry
 		// First is the revision before the first read, Last that of the last.
-		First, Last wire.Ledger
+		First, Last wire.Revision
 	}
 	// Fed answers a Follow.
 	Fed struct {
@@ -199,18 +199,18 @@
 	Fetched struct {
 		Outcome Outcome
 		Value   json.RawMessage
-		Stamp   wire.Ledger
+		Version wire.Revision
 	}
 	// Committed answers a Commit.
 	Committed struct {
-		Outcome Outcome
-		Ledger  wire.Ledger
-		Failed  []string
+		Outcome  Outcome
+		Revision wire.Revision
+		Failed   []string
 	}
 	// Granted answers a Grant or an Extend.
 	Granted struct {
 		Outcome Outcome
-		Permit  wire.Permit
+		LeaseID wire.LeaseID
 	}
 	// CatalogueRead answers a ReadCatalogue.
 	CatalogueRead struct {
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -6,15 +6,15 @@
 	"lilacrill/wire"
 )
 
-// mayPush reports whether a machine may be told its orders now; if not, it is
+// maySendOrders reports whether a machine may be told its orders now; if not, it is
 // once other calls are over.
-func (c *Core) mayPush(m *machine) bool {
+func (c *Core) maySendOrders(m *machine) bool {
 	most := c.callsAtOnce - c.callsAtOnce/asksPart
-	urgent := c.pressing(m)
+	urgent := c.hasCriticalTasks(m)
 	if !urgent {
 		most -= most / urgentPart
 	}
-	if c.pushing < max(1, most) {
+	if c.sendingOrders < max(1, most) {
 		return true
 	}
 	if !m.held {
@@ -28,14 +28,14 @@
 	return false
 }
 
-// pushHeld sends the orders of machines that waited for other calls to end.
-func (c *Core) pushHeld() {
+// sendHeldOrders sends the orders of machines that waited for other calls to end.
+func (c *Core) sendHeldOrders() {
 	for _, held := range []*[]*machine{&c.heldUrgent, &c.heldRest} {
 		for len(*held) > 0 {
 			m := (*held)[0]
 			m.held = false
 			*held = (*held)[1:]
-			c.pushNow(m)
+			c.sendOrdersNow(m)
 			if m.held {
 				return // it is in line again: too many are still under way
 			}
@@ -55,7 +55,7 @@
 	r := m.newest
 	m.holding = false
 	for _, e := range m.entries {
-		if e.Shift != r.Shift {
+		if e.Session != r.Session {
 			continue
 		}
 		j := c.jobs[e.Job]
@@ -139,7 +139,7 @@
 			m.uncleared[key] = without
 			fresh = append(fresh, key)
 		}
-		if c.tokenStamp > without && m.newest.Token >= c.token && len(orders) < maxOrders {
+		if c.tokenVersion > without && m.newest.Token >= c.token && len(orders) < maxOrders {
 			orders = append(orders, wire.Order{Verb: wire.VerbClear, Task: t.Task, Attempt: t.Attempt})
 		}
 	}
@@ -160,7 +160,7 @@
 }
 
 // notYet is a revision that no token is ever newer than.
-const notYet = ^wire.Ledger(0)
+const notYet = ^wire.Revision(0)
 
 // noteGone notes, after a barrier, that ended attempts have no entry. Without
 // the barrier the entry could merely be on its way to us: the attempt would be
@@ -185,10 +185,10 @@
 	}
 }
 
-// push sends a machine what it has to be told, directly, and reports whether
+// sendOrders sends a machine what it has to be told, directly, and reports whether
 // there was anything.
-func (c *Core) push(m *machine) bool {
-	if m.pushing || m.newest == nil || m.gone || !c.after(m.pushAt) || !c.ready {
+func (c *Core) sendOrders(m *machine) bool {
+	if m.sendingOrders || m.newest == nil || m.gone || !c.after(m.nextOrders) || !c.ready {
 		return false
 	}
 	token := c.token
@@ -219,26 +219,26 @@
 		}
 		return false
 	}
-	if !c.mayPush(m) {
+	if !c.maySendOrders(m) {
 		return false
 	}
 	if fenced {
 		orders = []wire.Order{} // only to be shown the token
 	}
-	m.pushing = true
-	c.pushing++
-	m.pushAt = c.now.Add(pushRetry)
+	m.sendingOrders = true
+	c.sendingOrders++
+	m.nextOrders = c.now.Add(ordersRetry)
 	asked := c.now
 	c.do(Order{call(c, func(a Answered) {
-		m.pushing = false
-		c.pushing--
+		m.sendingOrders = false
+		c.sendingOrders--
 		c.reached(m, asked, a)
 		c.answered(m, a)
 		if m.again {
-			c.pushNow(m)
+			c.sendOrdersNow(m)
 		}
-		c.pushHeld()
-	}), m.addr, wire.DoRequest{Token: token, Shift: m.newest.Shift, Orders: orders}})
+		c.sendHeldOrders()
+	}), m.addr, wire.DoRequest{Token: token, Session: m.newest.Session, Orders: orders}})
 	return true
 }
 
@@ -247,28 +247,28 @@
 // show it.
 func (c *Core) unfenced(m *machine) bool {
 	for _, e := range m.entries {
-		if e.Shift == m.newest.Shift && e.Fence > m.newest.Token && e.Fence <= c.token && (e.Launcher == c.boot || c.mine(e.page.team)) {
+		if e.Session == m.newest.Session && e.Fence > m.newest.Token && e.Fence <= c.token && (e.Launcher == c.boot || c.ownsTeam(e.page.team)) {
 			return true
 		}
 	}
 	return false
 }
 
-// pushNow sends what has just been decided.
-func (c *Core) pushNow(m *machine) {
-	if m.pushing {
+// sendOrdersNow sends what has just been decided.
+func (c *Core) sendOrdersNow(m *machine) {
+	if m.sendingOrders {
 		m.again = true
 		return
 	}
 	m.again = false
-	m.pushAt = c.now
-	c.push(m)
+	m.nextOrders = c.now
+	c.sendOrders(m)
 }
 
-func (c *Core) pushJob(id wire.JobID) {
+func (c *Core) sendOrdersOfJob(id wire.JobID) {
 	for _, e := range c.ofJob[id] {
 		if m := c.machines[e.Machine]; m != nil {
-			c.pushNow(m)
+			c.sendOrdersNow(m)
 		}
 	}
 }
@@ -280,7 +280,7 @@
 	}
 	c.lastBump = c.now
 	c.commit(ClassRest, wire.Transaction{
-		If:   []wire.Condition{{Key: tokenKey, Stamp: c.ver[tokenKey]}},
+		If:   []wire.Condition{{Key: tokenKey, Version: c.keyVersions[tokenKey]}},
 		Then: []wire.Change{put(tokenKey, c.token+1)},
 	}, func(Committed) { c.barrier(func(bool) {}) })
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -175,7 +175,7 @@
 			}
 			e := Entry{head: head{Job: j.id, Attempt: attempt, Launcher: c.boot,
 				Cores: j.spec.Cores, Accelerators: j.spec.Accelerators, MemGB: j.spec.MemGB,
-				Rank: j.spec.Rank.Order(), Shape: j.spec.Shape}, Machine: m.id, Shift: m.newest.Shift, Tasks: tasks}
+				Rank: j.spec.Rank.Order(), Shape: j.spec.Shape}, Machine: m.id, Session: m.newest.Session, Tasks: tasks}
 			if !c.fits(r, 0) || !c.add(r, m.zone, e) {
 				act = false
 				if whole {
@@ -186,7 +186,7 @@
 			}
 			r.places = true
 			r.urgent = r.urgent || j.spec.Rank == wire.RankCritical
-			r.conds[jobKey(j.id)] = j.stamp
+			r.conds[jobKey(j.id)] = j.version
 			r.skip[m.id] = true
 			r.tell[m.id] = true
 			c.count(countPlaced, tasks.Len())
@@ -374,12 +374,12 @@
 
 // places reports whether this controller answers for a job's placement: a new
 // job's first placement is up to the one that accepted it, everything else to
-// its team's steward.
+// its team's owner.
 func (c *Core) places(j *job) bool {
 	if c.now.Sub(j.seen) < firstTime && c.live(j.by) {
 		return j.by == c.boot && !c.isolated()
 	}
-	return c.mine(j.spec.Team)
+	return c.ownsTeam(j.spec.Team)
 }
 
 // wanting deals with tasks that found no room: they wait for room that is being
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -29,17 +29,17 @@
 
 	// The index of the records: real ones for commands, and with the rounds
 	// that are being written for planning.
-	ofJob    map[wire.JobID][]*Entry
-	critical map[wire.MachineID]int // entries of critical tasks
-	stewards map[string]string      // team to controller, as far as asked since the living changed
-	within   map[wire.JobID]bool    // the jobs within their teams' guarantees
+	ofJob      map[wire.JobID][]*Entry
+	critical   map[wire.MachineID]int // entries of critical tasks
+	teamOwners map[string]string      // team to controller, as far as asked since the living changed
+	within     map[wire.JobID]bool    // the jobs within their teams' guarantees
 }
 
 // plannerTeam is what the planner keeps of a team.
 type plannerTeam struct {
 	writing   *round
 	notBefore Time // no round before
-	proofFrom Time // when proofs may be written here though another is the steward
+	proofFrom Time // when proofs may be written here though another is the owner
 	lastTurn  Time
 	placeFrom Time                    // no placements before: after lost writes
 	tries     int                     // lost writes in a row
@@ -50,7 +50,7 @@
 func (p *planner) init() {
 	p.ofJob = map[wire.JobID][]*Entry{}
 	p.critical = map[wire.MachineID]int{}
-	p.stewards = map[string]string{}
+	p.teamOwners = map[string]string{}
 }
 
 const (
@@ -64,7 +64,7 @@
 	// firstTime is how long the placement of a new job is left to the controller
 	// that accepted it.
 	firstTime = 500 * time.Millisecond
-	// proofTime is how long the writing down of proofs is left to the steward:
+	// proofTime is how long the writing down of proofs is left to the owner:
 	// one writer per team spares lost writes.
 	proofTime   = time.Second
 	notDoneWait = 200 * time.Millisecond
@@ -77,24 +77,24 @@
 	restEvery = 250 * time.Millisecond
 )
 
-// mine reports whether this controller is a team's steward: the one that looks
+// ownsTeam reports whether this controller is a team's owner: the one that looks
 // after whatever its jobs need beyond the first placement. It is only a hint
 // that spares lost writes; safety rests on the conditions of the writes.
-func (c *Core) mine(team string) bool { return c.steward(team) == c.set.Label }
+func (c *Core) ownsTeam(team string) bool { return c.teamOwner(team) == c.settings.Label }
 
-func (c *Core) steward(team string) string {
-	if s, ok := c.stewards[team]; ok {
+func (c *Core) teamOwner(team string) string {
+	if s, ok := c.teamOwners[team]; ok {
 		return s
 	}
 	best := highest(c.labels, team)
-	c.stewards[team] = best
+	c.teamOwners[team] = best
 	return best
 }
 
 func (c *Core) teamSettings(name string) *config.Team {
-	for i := range c.set.Cluster.Teams {
-		if c.set.Cluster.Teams[i].Name == name {
-			return &c.set.Cluster.Teams[i]
+	for i := range c.settings.Cluster.Teams {
+		if c.settings.Cluster.Teams[i].Name == name {
+			return &c.settings.Cluster.Teams[i]
 		}
 	}
 	return nil
@@ -189,7 +189,7 @@
 		r := c.newRound(t)
 		c.takeProofs(r)
 		switch {
-		case r.empty() || c.mine(name):
+		case r.empty() || c.ownsTeam(name):
 			t.proofFrom = 0
 		case t.proofFrom == 0:
 			t.proofFrom = c.now.Add(proofTime)
@@ -212,17 +212,17 @@
 }
 
 // awaits reports whether a team has something that is this controller's to do:
-// tasks without a machine, or whatever else its steward looks after.
+// tasks without a machine, or whatever else its owner looks after.
 func (c *Core) awaits(team string) bool {
-	mine := c.mine(team)
-	if mine && slices.ContainsFunc(c.inOrder(), func(m *machine) bool { return m.recallAt != 0 }) {
+	ownsTeam := c.ownsTeam(team)
+	if ownsTeam && slices.ContainsFunc(c.inOrder(), func(m *machine) bool { return m.recallAt != 0 }) {
 		return true
 	}
 	for id, j := range c.jobs {
 		if j.spec.Team != team {
 			continue
 		}
-		if done := j.done.Len(); mine && done >= j.spec.Tasks || !c.paused(j) && done+c.placedOf(id) < j.spec.Tasks && c.places(j) {
+		if done := j.done.Len(); ownsTeam && done >= j.spec.Tasks || !c.paused(j) && done+c.placedOf(id) < j.spec.Tasks && c.places(j) {
 			return true
 		}
 	}
@@ -239,7 +239,7 @@
 // share of a processor, and further while it falls behind: leases, answers and what
 // waits for them come first. It is not stretched beyond most.
 func (c *Core) paced(pause, most time.Duration) time.Duration {
-	stretch := max(1, usualShare/c.set.Cluster.Quota.CoreShare) * (1 + c.lag)
+	stretch := max(1, usualShare/c.settings.Cluster.Quota.CoreShare) * (1 + c.lag)
 	return max(pause, min(most, time.Duration(float64(pause)*stretch)))
 }
 
@@ -254,7 +254,7 @@
 		if late {
 			c.count(countLagging, 1)
 			c.log.Info("this process falls behind: what can wait is put off; cluster.quota.core_share may be too small",
-				"late", time.Duration(c.lag*float64(TickEvery)).Round(time.Millisecond), "core_share", c.set.Cluster.Quota.CoreShare)
+				"late", time.Duration(c.lag*float64(TickEvery)).Round(time.Millisecond), "core_share", c.settings.Cluster.Quota.CoreShare)
 		} else {
 			c.log.Info("this process keeps up again")
 		}
--- a/internal/core/probing.go
+++ b/internal/core/probing.go
@@ -18,7 +18,7 @@
 	arrivalsProbedAtOnce = 4
 	// controllerSilence is how long a sibling must not have been heard for its workers
 	// to count as on their way to others.
-	controllerSilence = beatEvery + beatEvery/2
+	controllerSilence = heartbeatEvery + heartbeatEvery/2
 	// maxProbePause is the longest pause between two calls to a machine that leaves
 	// them unanswered.
 	maxProbePause = 10 * time.Second
@@ -30,16 +30,16 @@
 // worker that had no answer would go on to another controller. Only one whose next
 // report does not come in time is asked then.
 func (c *Core) probeArrival(m *machine) {
-	if m.showing || m.gone {
+	if m.requestingReport || m.gone {
 		return
 	}
 	c.arrivals++
 	if c.arrivals <= arrivalsProbedAtOnce && c.mayAsk() {
 		m.probeAt = 0
-		c.show(m)
+		c.requestReport(m)
 		return
 	}
-	next := config.Seconds(1.25 * c.set.Cluster.Workers.ReportS)
+	next := config.Seconds(1.25 * c.settings.Cluster.Workers.ReportS)
 	m.probeAt = c.now.Add(max(workerPatience, next) + nextLookEvery)
 }
 
@@ -47,7 +47,7 @@
 // heard: then the worker is on its way to another, and asking would only tell what its
 // report is about to say.
 func (c *Core) losesController(m *machine) bool {
-	if m.reportsTo == c.set.Label {
+	if m.reportsTo == c.settings.Label {
 		return false
 	}
 	p := c.peers[m.reportsTo]
@@ -61,8 +61,8 @@
 // an answer are all that any decision needs; after them the pause doubles. A machine
 // that goes on reports by itself.
 func (m *machine) probePause() time.Duration {
-	pause := showRetry
-	for range m.shows - 1 {
+	pause := reportRequestRetry
+	for range m.unansweredRequests - 1 {
 		if pause *= 2; pause >= maxProbePause {
 			return maxProbePause
 		}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -163,7 +163,7 @@
 		return due, due < least
 	}
 	due = never
-	for _, o := range c.set.Cluster.Objectives {
+	for _, o := range c.settings.Cluster.Objectives {
 		if o.Kind != "finished" || o.Class != j.spec.Class {
 			continue
 		}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -44,7 +44,7 @@
 // nodeRecord says that a controller is alive; it hangs on its lease.
 type nodeRecord struct {
 	Boot wire.FencingToken `json:"boot"`
-	// Isolated says that it reaches no workers, so that it should steward no team.
+	// Isolated says that it reaches no workers, so that it should own no team.
 	Isolated bool `json:"deaf,omitempty"`
 }
 
@@ -96,10 +96,10 @@
 type Entry struct {
 	head
 	Machine wire.MachineID
-	// Shift is the machine's session the launch is meant for: a worker obeys no
+	// Session is the machine's session the launch is meant for: a worker obeys no
 	// command of another session.
-	Shift wire.Shift
-	Tasks TaskSet
+	Session wire.Session
+	Tasks   TaskSet
 
 	page *page    // where it stands; set by the index
 	on   *machine // the same
@@ -144,7 +144,7 @@
 	team    string
 	zone    string
 	n       int
-	stamp   wire.Ledger
+	version wire.Revision
 	size    int // the most that its value can come to as its tasks end one by one
 	entries []Entry
 	done    map[wire.JobID]TaskSet
@@ -164,7 +164,7 @@
 type group struct {
 	head
 	Machines []wire.MachineID `json:"m"`
-	Shifts   []wire.Shift     `json:"h"`
+	Sessions []wire.Session   `json:"h"`
 	Tasks    []TaskSet        `json:"k"`
 }
 
@@ -177,7 +177,7 @@
 			v.Groups = append(v.Groups, group{head: e.head})
 		}
 		g := &v.Groups[len(v.Groups)-1]
-		g.Machines, g.Shifts, g.Tasks = append(g.Machines, e.Machine), append(g.Shifts, e.Shift), append(g.Tasks, e.Tasks)
+		g.Machines, g.Sessions, g.Tasks = append(g.Machines, e.Machine), append(g.Sessions, e.Session), append(g.Tasks, e.Tasks)
 	}
 	return v
 }
@@ -186,12 +186,12 @@
 func (p *page) unpack(v *pageValue) error {
 	for i := range v.Groups {
 		g := &v.Groups[i]
-		if len(g.Shifts) != len(g.Machines) || len(g.Tasks) != len(g.Machines) {
+		if len(g.Sessions) != len(g.Machines) || len(g.Tasks) != len(g.Machines) {
 			return fmt.Errorf("placement record %q: group of %d machines with %d shifts and %d sets",
-				p.key, len(g.Machines), len(g.Shifts), len(g.Tasks))
+				p.key, len(g.Machines), len(g.Sessions), len(g.Tasks))
 		}
 		for k := range g.Machines {
-			p.entries = append(p.entries, Entry{head: g.head, Machine: g.Machines[k], Shift: g.Shifts[k], Tasks: g.Tasks[k]})
+			p.entries = append(p.entries, Entry{head: g.head, Machine: g.Machines[k], Session: g.Sessions[k], Tasks: g.Tasks[k]})
 		}
 	}
 	p.done = v.Done
@@ -215,7 +215,7 @@
 
 // room is what an entry takes on its page, beside the head.
 func (e *Entry) room() int {
-	return onesRoom + len(e.Machine) + len(strconv.FormatUint(uint64(e.Shift), 10)) + e.Tasks.room()
+	return onesRoom + len(e.Machine) + len(strconv.FormatUint(uint64(e.Session), 10)) + e.Tasks.room()
 }
 
 // room is what a head takes with the empty lists after it.
--- a/internal/core/returning.go
+++ b/internal/core/returning.go
@@ -23,8 +23,8 @@
 	whyGone  = "gone with work on it"
 )
 
-// spoil finds machines that should go: dead, silent, never up, or idle.
-func (c *Core) spoil() {
+// reviewMachines finds machines that should go: dead, silent, never up, or idle.
+func (c *Core) reviewMachines() {
 	silence, idle := config.Seconds(c.chosen.SilenceS), config.Seconds(c.chosen.IdleS)
 	silent, reporting := 0, 0
 	bySilent, byHeard, lastHeard := map[string]int{}, map[string]int{}, map[string]Time{}
@@ -40,7 +40,7 @@
 			switch quiet := c.now.Sub(c.lastSign(m)); {
 			case quiet <= silence/2:
 				byHeard[m.zone]++
-			case m.shows > 0 || quiet > c.silentAsk(m)+askedBySome:
+			case m.unansweredRequests > 0 || quiet > c.silentAsk(m)+askedBySome:
 				bySilent[m.zone]++
 				silent++
 			}
@@ -90,12 +90,12 @@
 			// Tasks of jobs that are over must be gone in time, and it cannot be
 			// told: whatever the bounds, it goes.
 			c.markReturn(m, whyEnded)
-		case quiet > c.lenience(m, silence) && (m.shows >= 2 || c.unaddressed(m, quiet)) && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
+		case quiet > c.silenceTolerance(m, silence) && (m.unansweredRequests >= 2 || c.unaddressed(m, quiet)) && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
 			if c.mayGiveUp(m, reporting) {
 				c.markReturn(m, "silent")
 			}
 		case m.unreachable() && m.heard > m.unreachableSince && c.reports(m) && !c.unheard && !cutOff &&
-			c.now.Sub(m.unreachableSince) > config.Seconds(c.set.Cluster.Workers.LeaseS/2):
+			c.now.Sub(m.unreachableSince) > config.Seconds(c.settings.Cluster.Workers.LeaseS/2):
 			// Its reports come, but it hears nothing: its lease runs out unseen. One
 			// whose reports do not come either is silent, and may be in a zone that is
 			// cut off: once all machines of such a zone went this way, and later one of
@@ -114,7 +114,7 @@
 // to be listed, or to be heard by somebody. A buyer that had just started once gave up
 // dozens before it had read the list, which their workers were on their way to.
 func (c *Core) unaddressed(m *machine, quiet time.Duration) bool {
-	return m.addr == "" && c.lists > 0 && quiet > config.Seconds(1.25*c.set.Cluster.Workers.ReportS)+reportSlack
+	return m.addr == "" && c.lists > 0 && quiet > config.Seconds(1.25*c.settings.Cluster.Workers.ReportS)+reportSlack
 }
 
 // holdsEnded reports whether a machine has held ended work for longer than that.
@@ -134,7 +134,7 @@
 	if cutOff {
 		part = overPartCut
 	}
-	return config.Seconds(part * c.set.Cluster.Workers.CancelS)
+	return config.Seconds(part * c.settings.Cluster.Workers.CancelS)
 }
 
 // isCut reports whether a zone seems to be cut off. Nothing is rented there
@@ -144,16 +144,16 @@
 	return cut
 }
 
-// lenience is how long a machine may be silent before it is given up. What hangs
+// silenceTolerance is how long a machine may be silent before it is given up. What hangs
 // often goes on after a while: where nothing urgent stands on it, waiting costs
 // less than to start its work anew on a machine that has yet to boot.
-func (c *Core) lenience(m *machine, silence time.Duration) time.Duration {
+func (c *Core) silenceTolerance(m *machine, silence time.Duration) time.Duration {
 	for _, e := range m.entries {
 		if e.Rank == wire.RankCritical.Order() {
 			if c.cutZones[m.zone].silent >= cutLeast {
 				// A zone that is cut off works on, and its workers' leases last for a
 				// while: so long nothing on it is lost, unless we return it.
-				w := &c.set.Cluster.Workers
+				w := &c.settings.Cluster.Workers
 				return max(silence, config.Seconds(w.LeaseS-1.25*w.ReportS))
 			}
 			return silence
@@ -163,26 +163,26 @@
 		if c.isCut(m.zone) {
 			// They could not be replaced in their zone, and are the scarcest: once the
 			// zone is back, they are there with their images.
-			return cutLeases * config.Seconds(c.set.Cluster.Workers.LeaseS)
+			return cutLeases * config.Seconds(c.settings.Cluster.Workers.LeaseS)
 		}
 		// Until all of the zone had reason to report, it may be cut off.
-		silence += config.Seconds(1.3 * c.set.Cluster.Workers.ReportS)
+		silence += config.Seconds(1.3 * c.settings.Cluster.Workers.ReportS)
 	}
 	for _, e := range m.entries {
 		if e.Rank == wire.RankHigh.Order() {
 			return silence
 		}
 	}
-	return max(silence, 2*config.Seconds(c.set.Cluster.Workers.ReportS))
+	return max(silence, 2*config.Seconds(c.settings.Cluster.Workers.ReportS))
 }
 
 // siblingsWell reports whether all other living controllers talk to us.
 func (c *Core) siblingsWell() bool {
 	for label := range c.nodes {
-		if label == c.set.Label {
+		if label == c.settings.Label {
 			continue
 		}
-		if p := c.peers[label]; p == nil || c.now.Sub(p.heard) > 3*beatEvery {
+		if p := c.peers[label]; p == nil || c.now.Sub(p.heard) > 3*heartbeatEvery {
 			return false
 		}
 	}
@@ -195,8 +195,8 @@
 func (c *Core) mayGiveUp(m *machine, reporting int) bool {
 	c.silentAt = slices.DeleteFunc(c.silentAt, func(t Time) bool { return c.now.Sub(t) > silentWindow })
 	most := max(silentLeast, reporting/silentPart)
-	if !c.pressing(m) {
-		most -= most / pressingPart
+	if !c.hasCriticalTasks(m) {
+		most -= most / criticalTasksPart
 	}
 	if len(c.silentAt) >= most {
 		return false
@@ -264,7 +264,7 @@
 	c.nextReturns = c.now.Add(returnsEvery)
 	// One write for all that goes, which replicas wait for: ahead of submissions.
 	c.commit(ClassUrgent, wire.Transaction{
-		If:   []wire.Condition{{Key: returnsKey, Stamp: c.ver[returnsKey]}},
+		If:   []wire.Condition{{Key: returnsKey, Version: c.keyVersions[returnsKey]}},
 		Then: []wire.Change{put(returnsKey, next)},
 	}, func(r Committed) {
 		c.returnsCall = false
--- a/internal/core/rounds.go
+++ b/internal/core/rounds.go
@@ -16,7 +16,7 @@
 	ends   map[wire.JobID]bool // the jobs that it ends
 	adds   map[string]bool     // zones in which it adds entries
 	wrote  map[string]bool     // pages that the transaction changes
-	conds  map[string]wire.Ledger
+	conds  map[string]wire.Revision
 	places bool
 	urgent bool // it places critical tasks
 	// urgentOnly says that it is not this team's turn for anything else.
@@ -30,7 +30,7 @@
 
 func (c *Core) newRound(t *team) *round {
 	return &round{team: t, pages: map[string]*page{}, done: map[wire.JobID]TaskSet{}, ends: map[wire.JobID]bool{},
-		adds: map[string]bool{}, wrote: map[string]bool{}, conds: map[string]wire.Ledger{}, skip: map[wire.MachineID]bool{}, tell: map[wire.MachineID]bool{}}
+		adds: map[string]bool{}, wrote: map[string]bool{}, conds: map[string]wire.Revision{}, skip: map[wire.MachineID]bool{}, tell: map[wire.MachineID]bool{}}
 }
 
 // draft is the page to change in this round. What it holds of jobs that are
@@ -38,7 +38,7 @@
 func (c *Core) draft(r *round, p *page) *page {
 	d := r.pages[p.key]
 	if d == nil {
-		d = &page{key: p.key, team: p.team, zone: p.zone, n: p.n, stamp: p.stamp, size: p.size,
+		d = &page{key: p.key, team: p.team, zone: p.zone, n: p.n, version: p.version, size: p.size,
 			entries: slices.Clone(p.entries), done: c.living(p.done)}
 		r.pages[p.key] = d
 		r.ops++
@@ -61,8 +61,8 @@
 // demands does not grow with its team: the heads of its zones, the pages that
 // it writes, its jobs, the token and the list of machines to be returned.
 func (c *Core) fits(r *round, ops int) bool {
-	limits := &c.set.Cluster.State
-	conds := len(r.conds) + len(r.pages) + len(c.set.Cluster.Zones) + 4
+	limits := &c.settings.Cluster.State
+	conds := len(r.conds) + len(r.pages) + len(c.settings.Cluster.Zones) + 4
 	return r.ops+ops < limits.TxnOps && conds <= 4*limits.TxnOps && r.bytes < maxTxnBytes
 }
 
@@ -70,7 +70,7 @@
 func (c *Core) end(r *round, j *job) {
 	r.ends[j.id] = true
 	r.ops++
-	r.conds[jobKey(j.id)] = j.stamp
+	r.conds[jobKey(j.id)] = j.version
 }
 
 // write commits a round and, once it stands, tells the machines.
@@ -84,7 +84,7 @@
 	txn := wire.Transaction{}
 	for _, key := range c.settle(r) {
 		d := r.pages[key]
-		r.conds[key] = d.stamp
+		r.conds[key] = d.version
 		r.wrote[key] = true
 		txn.Then = append(txn.Then, put(key, d.value()))
 	}
@@ -104,18 +104,18 @@
 	if r.places {
 		// The heads of all the team's zones stand for every record that the
 		// decision read; one that does not exist yet must still not.
-		for _, zone := range c.set.Cluster.Zones {
+		for _, zone := range c.settings.Cluster.Zones {
 			key := pageKey(t.name, zone, 0)
 			if p := t.pages[key]; p != nil {
-				r.conds[key] = p.stamp
+				r.conds[key] = p.version
 			} else {
 				r.conds[key] = 0
 			}
 		}
-		r.conds[returnsKey] = c.ver[returnsKey]
+		r.conds[returnsKey] = c.keyVersions[returnsKey]
 	}
 	for _, key := range sortedKeys(r.conds) {
-		txn.If = append(txn.If, wire.Condition{Key: key, Stamp: r.conds[key]})
+		txn.If = append(txn.If, wire.Condition{Key: key, Version: r.conds[key]})
 	}
 	t.writing = r
 	sent := c.now
@@ -124,7 +124,7 @@
 		c.urgent = c.urgent || c.criticalWaits
 		if res.Outcome == Done {
 			t.writing = nil
-			c.adopt(r, res.Ledger)
+			c.adopt(r, res.Revision)
 			for id := range r.ends {
 				if c.jobs[id] == nil {
 					c.count(countDone, 1)
@@ -135,7 +135,7 @@
 			}
 			for _, id := range sortedKeys(r.tell) {
 				if m := c.machines[id]; m != nil {
-					c.pushNow(m)
+					c.sendOrdersNow(m)
 				}
 			}
 			if r.bump {
@@ -211,16 +211,16 @@
 }
 
 // adopt takes a round's pages into the cache as they were written.
-func (c *Core) adopt(r *round, stamp wire.Ledger) {
+func (c *Core) adopt(r *round, version wire.Revision) {
 	for _, key := range sortedKeys(r.pages) {
 		d := r.pages[key]
 		// A draft that came out as it was is not written, though its version may
 		// be demanded: taking it for written would demand a version that never was.
-		if !r.wrote[key] || stamp <= c.ver[key] {
+		if !r.wrote[key] || version <= c.keyVersions[key] {
 			continue
 		}
-		c.ver[key] = stamp
-		d.stamp = stamp
+		c.keyVersions[key] = version
+		d.version = version
 		d.measure()
 		c.turn(d)
 	}
@@ -262,10 +262,10 @@
 }
 
 func equalEntry(a, b Entry) bool {
-	return a.head == b.head && a.Machine == b.Machine && a.Shift == b.Shift && a.Tasks.Equal(b.Tasks)
+	return a.head == b.head && a.Machine == b.Machine && a.Session == b.Session && a.Tasks.Equal(b.Tasks)
 }
 
-func (c *Core) pageLimit() int { return int(c.set.Cluster.State.ValueKB * 1024) }
+func (c *Core) pageLimit() int { return int(c.settings.Cluster.State.ValueKB * 1024) }
 
 // addShare is the part of a page that new entries may fill: the rest is for
 // stops and fences that set entries apart.
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -11,7 +11,7 @@
 // session is this process's place among the controllers.
 type session struct {
 	loading, loaded bool
-	catchUp         wire.Ledger // the cache is whole once the feed is here
+	catchUp         wire.Revision // the cache is whole once the feed is here
 	nextTry         Time
 	watchFrom       Time
 	behind          bool // the state service was away, and what changed meanwhile is not known yet
@@ -28,10 +28,10 @@
 	budget   float64  // writes that may be made now; below 0 after a large round
 	budgetAt Time
 
-	permit     wire.Permit
-	permitCall bool
-	nextExtend Time
-	enrolled   bool // our node record hangs on the present permit
+	leaseID       wire.LeaseID
+	leaseCallOpen bool
+	nextExtend    Time
+	enrolled      bool // our node record hangs on the present permit
 }
 
 const (
@@ -51,7 +51,7 @@
 	} else if !c.watching && c.after(c.watchFrom) && c.now.Sub(c.inStep) > watchIdle {
 		c.watch()
 	}
-	if !c.permitCall && c.after(c.nextExtend) {
+	if !c.leaseCallOpen && c.after(c.nextExtend) {
 		c.tickLease()
 	}
 	if c.behind && !c.catching && c.stateFresh() {
@@ -63,12 +63,12 @@
 	}
 	c.keepStep()
 	c.openBarrier()
-	if c.enrolled && (c.nodes[c.set.Label] != c.boot || c.isolatedNodes[c.set.Label] != c.isolated()) {
+	if c.enrolled && (c.nodes[c.settings.Label] != c.boot || c.isolatedNodes[c.settings.Label] != c.isolated()) {
 		// A late copy of an earlier enrolment may hang the record on a lease that
 		// has since run out; or others should know that we no longer hear workers.
 		c.enrolled = false
 	}
-	if c.whole() && c.permit != 0 && !c.enrolled && !c.joining && c.after(c.nextTry) {
+	if c.whole() && c.leaseID != 0 && !c.enrolled && !c.joining && c.after(c.nextTry) {
 		c.join()
 	}
 	if !c.ready && c.boot != 0 && c.token >= c.boot {
@@ -78,29 +78,29 @@
 }
 
 func (c *Core) tickLease() {
-	c.permitCall = true
+	c.leaseCallOpen = true
 	c.nextExtend = c.now.Add(extendEvery)
 	then := func(g Granted) {
-		c.permitCall = false
+		c.leaseCallOpen = false
 		switch g.Outcome {
 		case Done:
 			c.stateAnswered()
-			if g.Permit != 0 && g.Permit != c.permit {
-				c.permit, c.enrolled = g.Permit, false
+			if g.LeaseID != 0 && g.LeaseID != c.leaseID {
+				c.leaseID, c.enrolled = g.LeaseID, false
 			}
 		case Missing:
 			c.stateAnswered()
 			c.log.Warn("the lease ran out")
-			c.permit, c.enrolled = 0, false
+			c.leaseID, c.enrolled = 0, false
 			c.nextExtend = c.now
 		default:
 			c.nextExtend = c.now.Add(retryState)
 		}
 	}
-	if c.permit == 0 {
+	if c.leaseID == 0 {
 		c.do(Grant{call(c, then), nodeTTL})
 	} else {
-		c.do(Extend{call(c, then), c.permit})
+		c.do(Extend{call(c, then), c.leaseID})
 	}
 }
 
@@ -114,25 +114,25 @@
 	var txn wire.Transaction
 	if boot == 0 {
 		boot = c.token + 1
-		txn.If = []wire.Condition{{Key: tokenKey, Stamp: c.ver[tokenKey]}}
+		txn.If = []wire.Condition{{Key: tokenKey, Version: c.keyVersions[tokenKey]}}
 		txn.Then = []wire.Change{put(tokenKey, boot)}
 	}
-	node := put(nodeKey(c.set.Label), nodeRecord{Boot: boot, Isolated: c.isolated()})
-	node.Permit = c.permit
+	node := put(nodeKey(c.settings.Label), nodeRecord{Boot: boot, Isolated: c.isolated()})
+	node.LeaseID = c.leaseID
 	txn.Then = append(txn.Then, node)
-	permit := c.permit
+	leaseID := c.leaseID
 	c.commit(ClassLease, txn, func(r Committed) {
 		c.joining = false
 		switch r.Outcome {
 		case Done:
 			c.boot = boot
-			c.enrolled = c.permit == permit
+			c.enrolled = c.leaseID == leaseID
 		case Conflict:
 			c.barrier(func(bool) {})
 			c.nextTry = c.now.Add(50 * time.Millisecond)
 			return
 		case Missing:
-			c.permit, c.enrolled = 0, false
+			c.leaseID, c.enrolled = 0, false
 			c.nextExtend = c.now
 		default:
 			c.nextTry = c.now.Add(retryState)
@@ -190,7 +190,7 @@
 	c.nextSweep = c.now.Add(2 * time.Second)
 	for _, name := range sortedKeys(c.teams) {
 		t := c.teams[name]
-		if t.writing != nil || !c.mine(name) {
+		if t.writing != nil || !c.ownsTeam(name) {
 			continue
 		}
 		for _, key := range sortedKeys(t.pages) {
@@ -201,7 +201,7 @@
 			d := page{done: c.living(p.done)}
 			c.sweeping = true
 			c.commit(ClassRest, wire.Transaction{
-				If:   []wire.Condition{{Key: key, Stamp: p.stamp}},
+				If:   []wire.Condition{{Key: key, Version: p.version}},
 				Then: []wire.Change{put(key, d.value())},
 			}, func(Committed) { c.sweeping = false })
 			return
@@ -224,7 +224,7 @@
 // controllers. All come to the same result once they know of the same ones;
 // until then it costs lost writes and refused calls, not safety.
 func (c *Core) assign() {
-	clear(c.stewards)
+	clear(c.teamOwners)
 	var labels []string
 	weight := map[string]float64{}
 	for _, label := range sortedKeys(c.nodes) {
@@ -237,11 +237,11 @@
 		}
 	}
 	if len(labels) == 0 {
-		labels = append(labels, c.set.Label) // nobody else is known to be of use
+		labels = append(labels, c.settings.Label) // nobody else is known to be of use
 	}
 	var names []string
-	for i := range c.set.Cluster.Teams {
-		names = append(names, c.set.Cluster.Teams[i].Name)
+	for i := range c.settings.Cluster.Teams {
+		names = append(names, c.settings.Cluster.Teams[i].Name)
 	}
 	slices.Sort(names)
 	// Each takes the teams it scores highest for, but no more than its part: at
@@ -253,13 +253,13 @@
 		best := highest(open, name)
 		load[best]++
 		weight[best]++
-		c.stewards[name] = best
+		c.teamOwners[name] = best
 	}
 	sum := 0.0
 	for _, w := range weight {
 		sum += w
 	}
-	own := weight[c.set.Label]
+	own := weight[c.settings.Label]
 	if own == 0 {
 		own, sum = 1, sum+1 // not enrolled yet
 	}
@@ -307,7 +307,7 @@
 }
 
 // writeRate is how many writes a second this controller may make.
-func (c *Core) writeRate() float64 { return writeShare * c.share() * c.set.Cluster.State.WriteRPS }
+func (c *Core) writeRate() float64 { return writeShare * c.share() * c.settings.Cluster.State.WriteRPS }
 
 // affords reports whether writes that can wait may be made now: they gather
 // while there is nothing left, and go in fewer and larger rounds.
--- a/internal/core/spares.go
+++ b/internal/core/spares.go
@@ -56,7 +56,7 @@
 		s.tasks += j.spec.Tasks - j.done.Len()
 	}
 	promised := map[string]bool{}
-	for _, o := range c.set.Cluster.Objectives {
+	for _, o := range c.settings.Cluster.Objectives {
 		if o.Kind == "wait" {
 			promised[o.Class] = true
 		}
--- a/internal/core/stopping.go
+++ b/internal/core/stopping.go
@@ -59,7 +59,7 @@
 		}
 		for _, e := range m.entries {
 			j := c.jobs[e.Job]
-			if j == nil || e.Halt != HaltNo || !c.mine(j.spec.Team) {
+			if j == nil || e.Halt != HaltNo || !c.ownsTeam(j.spec.Team) {
 				continue
 			}
 			r := rounds[j.spec.Team]
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
-	"time"
 
-	"lilacrill/internal/config"
 	"lilacrill/internal/fastjson"
 	"lilacrill/internal/placement"
 	"lilacrill/wire"
@@ -14,18 +12,18 @@
 // store is the cache of the state service's keys, kept by its feed.
 type store struct {
 	// feed is the revision up to which the cache is complete.
-	feed wire.Ledger
+	feed wire.Revision
 	// written is the last revision of our own that the cache holds, which may
 	// be ahead of feed.
-	written wire.Ledger
-	ver     map[string]wire.Ledger // stamps of cached keys, and of dropped ones until the feed is past them
-	dropped map[string]wire.Ledger
+	written     wire.Revision
+	keyVersions map[string]wire.Revision // stamps of cached keys, and of dropped ones until the feed is past them
+	dropped     map[string]wire.Revision
 
 	// token is adopted from the feed only. So a command that carries it is
 	// based on everything written before the token was raised: that is what
 	// makes a raised token a fence.
-	token      wire.FencingToken
-	tokenStamp wire.Ledger
+	token        wire.FencingToken
+	tokenVersion wire.Revision
 
 	jobs          map[wire.JobID]*job
 	finals        map[wire.JobID]finalRecord // of jobs whose final states have keys of their own: a cache
@@ -51,13 +49,13 @@
 
 // job is a job that is not over.
 type job struct {
-	id    wire.JobID
-	spec  wire.JobSpec
-	at    int64
-	by    wire.FencingToken
-	stamp wire.Ledger
-	done  TaskSet
-	req   *placement.Request
+	id      wire.JobID
+	spec    wire.JobSpec
+	at      int64
+	by      wire.FencingToken
+	version wire.Revision
+	done    TaskSet
+	req     *placement.Request
 
 	// What follows is only known here.
 	failing
@@ -72,7 +70,7 @@
 // leavingEntry says why a machine is going, and since which revision that stands.
 type leavingEntry struct {
 	why   string
-	since wire.Ledger
+	since wire.Revision
 }
 
 // team is a team's placement records.
@@ -88,8 +86,8 @@
 const maxFinals = 200_000
 
 func (s *store) init() {
-	s.ver = map[string]wire.Ledger{}
-	s.dropped = map[string]wire.Ledger{}
+	s.keyVersions = map[string]wire.Revision{}
+	s.dropped = map[string]wire.Revision{}
 	s.jobs = map[wire.JobID]*job{}
 	s.finals = map[wire.JobID]finalRecord{}
 	s.over = map[wire.JobID]finalRecord{}
@@ -110,7 +108,7 @@
 
 // apply takes one change into the cache, unless it is older than what is
 // there. A nil value drops the key.
-func (c *Core) apply(key string, value json.RawMessage, stamp wire.Ledger) {
+func (c *Core) apply(key string, value json.RawMessage, version wire.Revision) {
 	if id, ok := strings.CutPrefix(key, finalPrefix); ok {
 		// Written once and never changed, so there is no version to keep.
 		if err := c.applyFinal(wire.JobID(id), value); err != nil {
@@ -118,12 +116,12 @@
 		}
 		return
 	}
-	if stamp <= c.ver[key] {
+	if version <= c.keyVersions[key] {
 		return
 	}
-	c.ver[key] = stamp
+	c.keyVersions[key] = version
 	if value == nil {
-		c.dropped[key] = stamp
+		c.dropped[key] = version
 	} else {
 		delete(c.dropped, key)
 	}
@@ -135,7 +133,7 @@
 			err = fastjson.Unmarshal(value, &n)
 		}
 		if err == nil && n > c.token {
-			c.token, c.tokenStamp = n, stamp
+			c.token, c.tokenVersion = n, version
 		}
 	case key == buyerKey:
 		c.buyer = 0
@@ -144,7 +142,7 @@
 		}
 		c.assign()
 	case key == settingsKey:
-		err = c.applySettings(value, stamp)
+		err = c.applySettings(value, version)
 	case strings.HasPrefix(key, nodePrefix):
 		label := strings.TrimPrefix(key, nodePrefix)
 		if value == nil {
@@ -159,20 +157,20 @@
 		}
 		c.assign()
 	case strings.HasPrefix(key, jobPrefix):
-		err = c.applyJob(wire.JobID(strings.TrimPrefix(key, jobPrefix)), value, stamp)
+		err = c.applyJob(wire.JobID(strings.TrimPrefix(key, jobPrefix)), value, version)
 	case strings.HasPrefix(key, pagePrefix):
-		err = c.applyPage(key, value, stamp)
+		err = c.applyPage(key, value, version)
 	case strings.HasPrefix(key, imagePrefix):
 		err = c.applyImages(strings.TrimPrefix(key, imagePrefix), value)
 	case key == returnsKey:
-		err = c.applyReturns(value, stamp)
+		err = c.applyReturns(value, version)
 	}
 	if err != nil {
 		c.log.Error("record in the state service not understood", "key", key, "err", err)
 	}
 }
 
-func (c *Core) applyJob(id wire.JobID, value json.RawMessage, stamp wire.Ledger) error {
+func (c *Core) applyJob(id wire.JobID, value json.RawMessage, version wire.Revision) error {
 	c.dirty = true
 	for _, e := range c.ofJob[id] {
 		e.on.settled, e.page.look = nil, true
@@ -193,7 +191,7 @@
 		}
 		delete(c.jobs, id)
 		if _, known := c.over[id]; !known && r.Over.Status == wire.StatusWithdrawn {
-			c.noteWithdrawn(wire.Withdrawal{Job: id, Stamp: stamp, Done: r.Over.Done})
+			c.noteWithdrawn(wire.Withdrawal{Job: id, Version: version, Done: r.Over.Done})
 		}
 		c.over[id] = *r.Over
 		for _, e := range c.ofJob[id] {
@@ -213,17 +211,17 @@
 		}
 	}
 	c.urgent = c.urgent || r.Spec.Rank == wire.RankCritical
-	j.spec, j.at, j.by, j.stamp = r.Spec, r.At, r.By, stamp
+	j.spec, j.at, j.by, j.version = r.Spec, r.At, r.By, version
 	j.req = placement.NewRequest(&j.spec)
 	return nil
 }
 
-func (c *Core) applyPage(key string, value json.RawMessage, stamp wire.Ledger) error {
+func (c *Core) applyPage(key string, value json.RawMessage, version wire.Revision) error {
 	name, zone, n, err := parsePageKey(key)
 	if err != nil {
 		return err
 	}
-	p := &page{key: key, team: name, zone: zone, n: n, stamp: stamp}
+	p := &page{key: key, team: name, zone: zone, n: n, version: version}
 	var v pageValue
 	if err := fastjson.Unmarshal(value, &v); err != nil {
 		return err
@@ -270,7 +268,7 @@
 
 // applyReturns takes the list of machines about to be returned and of those that
 // are gone.
-func (c *Core) applyReturns(value json.RawMessage, stamp wire.Ledger) error {
+func (c *Core) applyReturns(value json.RawMessage, version wire.Revision) error {
 	var d returnsRecord
 	if value != nil {
 		if err := fastjson.Unmarshal(value, &d); err != nil {
@@ -280,7 +278,7 @@
 	leaving := map[wire.MachineID]leavingEntry{}
 	for why, names := range d.Going {
 		for _, id := range names {
-			since := stamp
+			since := version
 			if old, ok := c.leaving[id]; ok {
 				since = old.since
 			}
@@ -303,194 +301,3 @@
 	c.returns, c.leaving, c.dirty = d, leaving, true
 	return nil
 }
-
-// load reads everything anew: at the start, and when the feed no longer goes
-// back far enough.
-func (c *Core) load() {
-	c.do(Load{call(c, func(l Loaded) {
-		if l.Outcome != Done {
-			c.loading = false
-			c.nextTry = c.now.Add(retryState)
-			return
-		}
-		c.stateAnswered()
-		finals := c.finals
-		c.store.init()
-		c.finals = finals
-		c.withdrawn, c.withdrawnFrom = nil, 0
-		clear(c.overOn)
-		for _, m := range c.machines {
-			m.entries = nil
-		}
-		clear(c.ofJob)
-		clear(c.critical)
-		for _, e := range l.Entries {
-			c.apply(e.Key, e.Value, e.Stamp)
-		}
-		c.feed = l.First
-		c.forgetWithdrawn(l.First)
-		c.catchUp = l.Last
-		c.loading, c.loaded = false, true
-		c.watch()
-	}), loadPrefixes})
-}
-
-// watch keeps one open request on the feed.
-func (c *Core) watch() {
-	if c.watching || !c.loaded {
-		return
-	}
-	c.watching = true
-	block := watchBlock
-	if c.feed < c.catchUp {
-		block = 0
-	}
-	c.do(Follow{Call: call(c, func(f Fed) {
-		c.watching = false
-		if !c.fed(f) {
-			c.watchFrom = c.now.Add(retryState)
-			return
-		}
-		// A short pause lets changes gather: what a busy feed brings is wanted
-		// within a second, not at once.
-		c.watchFrom = c.now.Add(c.every(watchPause, watchPart))
-		if c.feed < c.catchUp {
-			c.watch()
-		}
-	}), Class: ClassUrgent, Under: rootKey, After: c.feed, Block: block})
-}
-
-const (
-	watchBlock = 10 * time.Second
-	watchPause = 40 * time.Millisecond
-	// watchIdle is how long the feed must not have been read for a watch to be
-	// opened: while users ask, barriers bring all of it, and a watch would only have
-	// it decoded twice.
-	watchIdle  = 100 * time.Millisecond
-	retryState = 250 * time.Millisecond
-	// watchPart and barrierPart are the parts of this controller's requests that
-	// reading the feed may take.
-	watchPart   = 0.25
-	barrierPart = 0.3
-)
-
-// every is the time between calls that may take a part of this controller's
-// share of the state service's requests.
-func (c *Core) every(least time.Duration, part float64) time.Duration {
-	return max(least, config.Seconds(1/(part*c.share()*c.set.Cluster.State.RPS)))
-}
-
-// fed takes an answer of the feed and reports whether it was one.
-func (c *Core) fed(f Fed) bool {
-	c.outcome(f.Outcome, countStateNot, countStateLost)
-	switch f.Outcome {
-	case Done:
-	case TooOld:
-		if c.loaded {
-			c.log.Info("the feed no longer goes back far enough; reading everything again")
-			c.loaded, c.loading = false, false
-		}
-		return false
-	default:
-		return false
-	}
-	c.stateAnswered()
-	for _, l := range f.Feed.Log {
-		if l.Put != "" {
-			c.apply(l.Put, l.Value, l.Stamp)
-		} else {
-			c.apply(l.Drop, nil, l.Stamp)
-		}
-	}
-	c.feed = max(c.feed, f.Feed.Ledger)
-	if c.loaded {
-		c.readTo(c.asked)
-	}
-	for key, stamp := range c.dropped {
-		if stamp <= c.feed {
-			delete(c.dropped, key)
-			delete(c.ver, key)
-		}
-	}
-	return true
-}
-
-// barrier calls then once the cache holds everything that was written before
-// now. All who wait share one request.
-func (c *Core) barrier(then func(ok bool)) {
-	if !c.loaded {
-		then(false)
-		return
-	}
-	c.queued = append(c.queued, then)
-	c.openBarrier()
-}
-
-func (c *Core) openBarrier() {
-	if c.barrierOpen || len(c.queued) == 0 || !c.after(c.barrierFrom) {
-		return
-	}
-	c.barrierOpen = true
-	c.barrierFrom = c.now.Add(c.every(0, barrierPart))
-	c.waiting, c.queued = c.queued, nil
-	after := c.feed
-	c.do(Follow{Call: call(c, func(f Fed) {
-		ok := after <= c.feed && c.fed(f)
-		c.barrierOpen = false
-		served := c.waiting
-		c.waiting = nil
-		for _, then := range served {
-			then(ok)
-		}
-		c.openBarrier()
-	}), Class: ClassAccept, Under: rootKey, After: after})
-}
-
-// commit runs a transaction and takes its changes into the cache when it went
-// through. The token comes by the feed alone (see store.token).
-func (c *Core) commit(class Class, txn wire.Transaction, then func(Committed)) {
-	c.commitKnown(class, txn, "", then)
-}
-
-// commitKnown is commit for a caller that takes the keys under known (if not
-// empty) into the cache itself.
-func (c *Core) commitKnown(class Class, txn wire.Transaction, known string, then func(Committed)) {
-	sent := c.now
-	c.spend(len(txn.Then))
-	c.do(Commit{call(c, func(r Committed) {
-		c.count(countCommits, 1)
-		c.took(timeCommit, c.now.Sub(sent))
-		c.outcome(r.Outcome, countStateNot, countStateLost)
-		switch r.Outcome {
-		case NotDone:
-			c.spend(-len(txn.Then)) // no tokens were used
-		case Done:
-			c.stateAnswered()
-			c.written = max(c.written, r.Ledger)
-			for _, ch := range txn.Then {
-				switch {
-				case ch.Put == tokenKey || known != "" && strings.HasPrefix(ch.Put, known):
-				case ch.Put != "":
-					c.apply(ch.Put, ch.Value, r.Ledger)
-				default:
-					c.apply(ch.Drop, nil, r.Ledger)
-				}
-			}
-		case Conflict:
-			c.stateAnswered()
-			c.count(countConflicts, 1)
-		}
-		then(r)
-	}), class, txn})
-}
-
-func put(key string, v any) wire.Change { return wire.Change{Put: key, Value: encode(v)} }
-
-func encode(v any) json.RawMessage {
-	b, err := json.Marshal(v)
-	if err != nil {
-		// Only our own record types come here; none of them can fail.
-		panic(err)
-	}
-	return b
-}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -224,7 +224,7 @@
 		c.do(Fetch{call(c, func(f Fetched) {
 			switch f.Outcome {
 			case Done:
-				c.apply(finalKey(id), f.Value, f.Stamp)
+				c.apply(finalKey(id), f.Value, f.Version)
 				if f, ok := c.ended(id); ok {
 					then(finalStatus(id, f), true)
 				} else {
@@ -282,7 +282,7 @@
 		}
 		end := finalRecord{Status: wire.StatusWithdrawn, Done: s.Done}
 		c.commit(ClassUrgent, wire.Transaction{
-			If:   []wire.Condition{{Key: jobKey(id), Stamp: j.stamp}},
+			If:   []wire.Condition{{Key: jobKey(id), Version: j.version}},
 			Then: []wire.Change{put(jobKey(id), overRecord{end})},
 		}, func(done Committed) {
 			switch done.Outcome {
@@ -290,7 +290,7 @@
 				c.count(countWithdrawn, 1)
 				c.log.Debug("job withdrawn", "job", id)
 				c.reply(r, http.StatusOK, finalStatus(id, end))
-				c.pushJob(id)
+				c.sendOrdersOfJob(id)
 			case Conflict:
 				c.lookUp(r, id, func(s wire.JobStatus, found bool) {
 					if found && s.Status.Final() {
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -8,8 +8,8 @@
 	"lilacrill/wire"
 )
 
-// hello answers a worker's report.
-func (c *Core) hello(in Reported) {
+// handleReport answers a worker's report.
+func (c *Core) handleReport(in Reported) {
 	r := in.Report
 	if !c.ready {
 		c.do(Reply{Request: in.Request, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: "starting"}})
@@ -23,15 +23,15 @@
 				c.sendAway(in.Request)
 				return
 			}
-			c.helloKnown(in)
+			c.handleKnownReport(in)
 		})
 		return
 	}
-	c.helloKnown(in)
+	c.handleKnownReport(in)
 }
 
-// helloKnown answers a worker that has seen no token which is not known here.
-func (c *Core) helloKnown(in Reported) {
+// handleKnownReport answers a worker that has seen no token which is not known here.
+func (c *Core) handleKnownReport(in Reported) {
 	r := in.Report
 	if !c.mayRenew() || c.mayStillStart(c.machineOf(r.Machine)) {
 		// What stands on this worker, or may yet start there, may have been withdrawn
@@ -67,8 +67,8 @@
 // once: where others are well it stays with them, and if it comes back, having
 // found none, it is kept. It is sent only if its lease lasts for the tour.
 func (c *Core) sendsOn(m *machine) bool {
-	w := &c.set.Cluster.Workers
-	tour := time.Duration(len(c.set.Siblings)) * (workerPatience + workerPause)
+	w := &c.settings.Cluster.Workers
+	tour := time.Duration(len(c.settings.Siblings)) * (workerPatience + workerPause)
 	if !c.alone() || c.now.Sub(c.stateOK) < aloneAfter || m.sentOn > c.stateOK ||
 		tour+config.Seconds(1.25*w.ReportS)+workerPatience > config.Seconds(w.LeaseS) {
 		return false
@@ -97,9 +97,9 @@
 
 func (c *Core) answerWorker(in Reported) {
 	m := c.machineOf(in.Report.Machine)
-	came := m.direct == nil || c.now.Sub(m.heardDirect) > config.Seconds(2*c.set.Cluster.Workers.ReportS)
+	came := m.direct == nil || c.now.Sub(m.heardDirect) > config.Seconds(2*c.settings.Cluster.Workers.ReportS)
 	c.hear(in.Report, true)
-	m.reportsTo = c.set.Label
+	m.reportsTo = c.settings.Label
 	if came {
 		c.probeArrival(m)
 	} else {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -68,7 +68,7 @@
 	s.app.Get("/work/:id", s.poll)
 	s.app.Post("/work/:id/cancel", s.cancel)
 	s.app.Get("/up", s.up)
-	s.app.Post("/hello", s.hello)
+	s.app.Post("/hello", s.handleReport)
 	admin.Register(s.app, adminToken, s.ask)
 	return s
 }
@@ -177,7 +177,7 @@
 	}{"up"})
 }
 
-func (s *Server) hello(c fiber.Ctx) error {
+func (s *Server) handleReport(c fiber.Ctx) error {
 	r, err := wire.ParseReport(c.Body())
 	if err != nil {
 		s.log.Warn("worker's report dropped", "from", c.IP(), "err", err)
--- /dev/null
+++ b/internal/standin/events.go
@@ -0,0 +1,27 @@
+package standin
+
+import "lilacrill/internal/core"
+
+type event struct {
+	at    core.Time
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, k int) bool {
+	return e[i].at < e[k].at || e[i].at == e[k].at && e[i].order < e[k].order
+}
+
+func (e events) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
--- a/internal/standin/found_test.go
+++ b/internal/standin/found_test.go
@@ -28,7 +28,7 @@
 			spec.Tasks = 4
 			w.At(time.Duration(2+n)*time.Second, func() { w.Submit(spec, 3*time.Second) })
 		}
-		// The steward hears of nothing itself, so whoever gets a report notes it.
+		// The owner hears of nothing itself, so whoever gets a report notes it.
 		w.At(time.Second, func() { w.NoDirect = true })
 		w.Run(200 * time.Second)
 		require.Empty(t, w.Broken)
@@ -337,7 +337,7 @@
 
 // TestWorkGoesOnWithoutSiblings guards placement while connections between
 // controllers are refused: each hears only the workers that report to it, and a
-// steward that hears few of them once placed nothing on the others. It also guards
+// owner that hears few of them once placed nothing on the others. It also guards
 // against machines of a lost write that stay locked for ever, as when they are the
 // only ones with room.
 func TestWorkGoesOnWithoutSiblings(t *testing.T) {
--- /dev/null
+++ b/internal/standin/world_state.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"lilacrill/internal/core"
+	"lilacrill/wire"
+)
+
+// state carries a call to the state service out; refused is the result while
+// it refuses.
+func (w *World) state(n *node, id core.CallID, refused, lost any, exec func() any) {
+	gen := n.gen
+	w.after(w.SlowState, func() {
+		w.remote(n, gen, id, lost, func() any {
+			if w.StateDown || w.CutState[n.index] {
+				return refused
+			}
+			return exec()
+		})
+	})
+}
+
+// checkLimits holds a transaction against the limits of the state service, and
+// wants every record written on the condition that it is as it was read.
+func (w *World) checkLimits(t wire.Transaction) {
+	l := w.Settings.Cluster.State
+	if len(t.Then) > l.TxnOps || len(t.If) > 4*l.TxnOps {
+		w.breaks("transaction with %d changes and %d conditions", len(t.Then), len(t.If))
+	}
+	for _, c := range t.Then {
+		for _, records := range []string{"l/p/", "l/j/", "l/f/", "l/m"} {
+			if strings.HasPrefix(c.Put, records) && !slices.ContainsFunc(t.If, func(i wire.Condition) bool { return i.Key == c.Put }) {
+				w.breaks("%s written without a condition on it", c.Put)
+			}
+		}
+		if float64(len(c.Value)) > l.ValueKB*1024 {
+			w.breaks("value of %d bytes under %s", len(c.Value), c.Put)
+		}
+	}
+}
+
+// placements are the attempts in a team's records that a transaction is about
+// to write.
+func (w *World) placements(t wire.Transaction) map[string]bool {
+	out := map[string]bool{}
+	for _, ch := range t.Then {
+		if parts := strings.Split(ch.Put, "/"); strings.HasPrefix(ch.Put, "l/p/") {
+			for _, e := range w.store.List("l/p/" + parts[2] + "/") {
+				for name := range attempts(e.Value) {
+					out[name] = true
+				}
+			}
+		}
+	}
+	return out
+}
+
+// checkPlacements wants every attempt that a transaction adds to be of a job
+// that there is.
+func (w *World) checkPlacements(t wire.Transaction, before map[string]bool) {
+	for _, ch := range t.Then {
+		if !strings.HasPrefix(ch.Put, "l/p/") {
+			continue
+		}
+		for name, id := range attempts(ch.Value) {
+			if v, _, ok := w.store.Get("l/j/" + string(id)); (!ok || strings.Contains(string(v), `"over"`)) && !before[name] {
+				w.breaks("placed without its job: %s", name)
+			}
+		}
+	}
+}
+
+// attempts are the attempts that a placement record names, with their jobs.
+func attempts(value json.RawMessage) map[string]wire.JobID {
+	var v struct {
+		Groups []struct {
+			Job     wire.JobID   `json:"j"`
+			Attempt wire.Attempt `json:"a"`
+		} `json:"e"`
+	}
+	if err := json.Unmarshal(value, &v); err != nil {
+		panic(err) // the core writes nothing else there
+	}
+	out := map[string]wire.JobID{}
+	for _, g := range v.Groups {
+		out[fmt.Sprint(g.Job, " ", g.Attempt)] = g.Job
+	}
+	return out
+}
+
+func (w *World) load(n *node, o core.Load) {
+	gen := n.gen
+	var r core.Loaded
+	var next func(i int)
+	next = func(i int) {
+		switch {
+		case n.gen != gen:
+		case w.StateDown || w.CutState[n.index] || w.rng.Float64() < w.Loss:
+			w.returned(n, gen, giveUp, o.Call, core.Loaded{Outcome: core.NotDone})
+		case i == len(o.Prefixes):
+			w.returned(n, gen, w.latency(), o.Call, r)
+		default:
+			if i == 0 {
+				r.First = w.store.Revision()
+			}
+			r.Last = w.store.Revision()
+			r.Entries = append(r.Entries, w.store.List(o.Prefixes[i])...)
+			w.after(w.latency(), func() { next(i + 1) })
+		}
+	}
+	w.after(w.latency(), func() { next(0) })
+}
+
+// fed is the feed's answer.
+func (w *World) fed(f core.Follow) core.Fed {
+	if w.store.TooOld(f.After) {
+		return core.Fed{Outcome: core.TooOld}
+	}
+	return core.Fed{Feed: w.store.Feed(f.Under, f.After)}
+}
+
+// feed serves the open watches after a change.
+func (w *World) feed() {
+	for _, wt := range w.watchers {
+		w.after(w.latency(), func() { w.serveWatcher(wt, false) })
+	}
+}
+
+func (w *World) serveWatcher(wt *watcher, timeout bool) {
+	if wt.done {
+		return
+	}
+	if wt.n.gen != wt.gen {
+		wt.done = true
+	} else if !w.StateDown && !w.CutState[wt.n.index] {
+		f := w.fed(wt.f)
+		if f.Outcome == core.Done && len(f.Feed.Log) == 0 && !timeout {
+			return
+		}
+		wt.done = true
+		w.returned(wt.n, wt.gen, w.latency(), wt.f.Call, f)
+	} else if timeout {
+		wt.done = true
+		w.returned(wt.n, wt.gen, w.latency(), wt.f.Call, core.Fed{Outcome: core.Unknown})
+	}
+	w.watchers = slices.DeleteFunc(w.watchers, func(x *watcher) bool { return x.done })
+}
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -114,7 +114,7 @@
 		var problem wire.Problem
 		status, err := c.calls.Call(http.MethodPost, "/multi", m.Txn, timeout,
 			map[int]any{200: &a, 409: &a, 400: &problem})
-		r := core.Committed{Ledger: a.Ledger, Failed: a.Failed}
+		r := core.Committed{Revision: a.Revision, Failed: a.Failed}
 		if status == http.StatusBadRequest && err == nil && problem.Error == "no such lease" {
 			r.Outcome = core.Missing
 		} else {
@@ -129,7 +129,7 @@
 	c.queue.add(core.ClassAccept, &waiter{deadline: time.Now().Add(queueTime), run: func() {
 		var e wire.Entry
 		status, err := c.calls.Call(http.MethodGet, "/kv/"+f.Key, nil, callTimeout, map[int]any{200: &e})
-		then(core.Fetched{Outcome: c.outcome("get", status, err), Value: e.Value, Stamp: e.Stamp})
+		then(core.Fetched{Outcome: c.outcome("get", status, err), Value: e.Value, Version: e.Version})
 	}, expire: func() { then(core.Fetched{Outcome: core.NotDone}) }})
 }
 
@@ -143,19 +143,19 @@
 
 // Extend renews a lease.
 func (c *Client) Extend(e core.Extend, then func(core.Granted)) {
-	c.lease("/leases/"+strconv.FormatUint(uint64(e.Permit), 10)+"/extend", struct{}{}, e.Permit, then)
+	c.lease("/leases/"+strconv.FormatUint(uint64(e.LeaseID), 10)+"/extend", struct{}{}, e.LeaseID, then)
 }
 
-func (c *Client) lease(path string, body any, permit wire.Permit, then func(core.Granted)) {
+func (c *Client) lease(path string, body any, leaseID wire.LeaseID, then func(core.Granted)) {
 	c.queue.add(core.ClassLease, &waiter{deadline: time.Now().Add(queueTime), run: func() {
 		var a struct {
-			Permit wire.Permit `json:"permit"`
+			LeaseID wire.LeaseID `json:"permit"`
 		}
 		status, err := c.calls.Call(http.MethodPost, path, body, leaseTimeout, map[int]any{200: &a})
-		if a.Permit == 0 {
-			a.Permit = permit
+		if a.LeaseID == 0 {
+			a.LeaseID = leaseID
 		}
-		then(core.Granted{Outcome: c.outcome("lease", status, err), Permit: a.Permit})
+		then(core.Granted{Outcome: c.outcome("lease", status, err), LeaseID: a.LeaseID})
 	}, expire: func() { then(core.Granted{Outcome: core.NotDone}) }})
 }
 
@@ -172,9 +172,9 @@
 					return
 				}
 				if i == 0 && after == "" {
-					r.First = page.Ledger
+					r.First = page.Revision
 				}
-				r.Last = max(r.Last, page.Ledger)
+				r.Last = max(r.Last, page.Revision)
 				r.Entries = append(r.Entries, page.Entries...)
 				if !page.More || len(page.Entries) == 0 {
 					break
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -34,7 +34,7 @@
 	Heard    bool         `json:"heard"`
 	Hears    bool         `json:"hears"`
 	Isolated bool         `json:"deaf,omitempty"`
-	Ledger   Ledger       `json:"ledger,omitempty"`
+	Revision Revision     `json:"ledger,omitempty"`
 	Token    FencingToken `json:"baton,omitempty"`
 	// Of the controller that was asked: for how long it has not been in step with
 	// the state service, the age of what it knows of withdrawals, by the service or
@@ -98,7 +98,7 @@
 
 // AdminSettings is the operators' settings with their version.
 type AdminSettings struct {
-	Version  Ledger          `json:"version"`
+	Version  Revision        `json:"version"`
 	Settings json.RawMessage `json:"settings"`
 }
 
--- a/wire/ids.go
+++ b/wire/ids.go
@@ -63,14 +63,14 @@
 // FencingToken says who may command workers: the higher one wins.
 type FencingToken uint64
 
-// Shift counts a worker's sessions.
-type Shift uint64
+// Session counts a worker's sessions.
+type Session uint64
 
-// Tally orders a worker's messages within a session.
-type Tally uint64
+// Sequence orders a worker's messages within a session.
+type Sequence uint64
 
-// Ledger is a revision of the state service.
-type Ledger uint64
+// Revision is a revision of the state service.
+type Revision uint64
 
-// Permit names a lease of the state service.
-type Permit uint64
+// LeaseID names a lease of the state service.
+type LeaseID uint64
--- a/wire/services.go
+++ b/wire/services.go
@@ -71,30 +71,30 @@
 
 // Entry is one key with its value in the state service.
 type Entry struct {
-	Key   string          `json:"key"`
-	Value json.RawMessage `json:"v"`
-	Stamp Ledger          `json:"stamp"`
+	Key     string          `json:"key"`
+	Value   json.RawMessage `json:"v"`
+	Version Revision        `json:"stamp"`
 }
 
 // EntryList answers GET /kv?under=.
 type EntryList struct {
-	Entries []Entry `json:"entries"`
-	More    bool    `json:"more"`
-	Ledger  Ledger  `json:"ledger"`
+	Entries  []Entry  `json:"entries"`
+	More     bool     `json:"more"`
+	Revision Revision `json:"ledger"`
 }
 
 // Condition demands a key's version; 0 means that the key does not exist.
 type Condition struct {
-	Key   string `json:"key"`
-	Stamp Ledger `json:"stamp"`
+	Key     string   `json:"key"`
+	Version Revision `json:"stamp"`
 }
 
 // Change puts or drops one key.
 type Change struct {
-	Put    string          `json:"put,omitempty"`
-	Value  json.RawMessage `json:"v,omitempty"`
-	Permit Permit          `json:"permit,omitempty"`
-	Drop   string          `json:"drop,omitempty"`
+	Put     string          `json:"put,omitempty"`
+	Value   json.RawMessage `json:"v,omitempty"`
+	LeaseID LeaseID         `json:"permit,omitempty"`
+	Drop    string          `json:"drop,omitempty"`
 }
 
 // Transaction is the body of POST /multi.
@@ -105,22 +105,22 @@
 
 // TransactionAnswer answers /multi with 200 or 409.
 type TransactionAnswer struct {
-	Ledger Ledger   `json:"ledger"`
-	Failed []string `json:"failed"`
+	Revision Revision `json:"ledger"`
+	Failed   []string `json:"failed"`
 }
 
 // LogEntry is one change in the feed.
 type LogEntry struct {
-	Put   string          `json:"put,omitempty"`
-	Value json.RawMessage `json:"v,omitempty"`
-	Drop  string          `json:"drop,omitempty"`
-	Stamp Ledger          `json:"stamp"`
+	Put     string          `json:"put,omitempty"`
+	Value   json.RawMessage `json:"v,omitempty"`
+	Drop    string          `json:"drop,omitempty"`
+	Version Revision        `json:"stamp"`
 }
 
 // Feed answers GET /follow.
 type Feed struct {
-	Ledger Ledger     `json:"ledger"`
-	Log    []LogEntry `json:"log"`
+	Revision Revision   `json:"ledger"`
+	Log      []LogEntry `json:"log"`
 }
 
 // PeerLine is one line between controllers. A line with nothing else only says
@@ -129,8 +129,8 @@
 	From string `json:"from"`
 	// StateFresh says that the sender has heard from the state service lately.
 	StateFresh bool `json:"state_fresh,omitempty"`
-	// Vouch is the sender's word on withdrawn jobs, on some lines.
-	Vouch *Vouch `json:"vouch,omitempty"`
+	// Attestation is the sender's word on withdrawn jobs, on some lines.
+	Attestation *Attestation `json:"vouch,omitempty"`
 	// Reports are workers' reports as the sender got them, of machines of which
 	// more has changed than the time.
 	Reports []*Report `json:"reports,omitempty"`
@@ -140,24 +140,24 @@
 	Cloud []ListedMachine `json:"cloud,omitempty"`
 }
 
-// Vouch is a controller's word for every withdrawal that it may have told a user
+// Attestation is a controller's word for every withdrawal that it may have told a user
 // of until it sent the line: those that are not in the state service's feed up to
 // From are listed.
-type Vouch struct {
+type Attestation struct {
 	// Process tells the sender's process from earlier ones of its label, and Number
-	// counts that process's vouches.
+	// counts that process's attestations.
 	Process uint64 `json:"p"`
 	Number  uint64 `json:"n"`
-	// Ledger is the revision up to which the sender knows all changes.
-	Ledger Ledger `json:"l"`
-	From   Ledger `json:"f"`
-	// Heard is the newest vouch of each sibling that the sender has had, which
+	// Revision is the revision up to which the sender knows all changes.
+	Revision Revision `json:"l"`
+	From     Revision `json:"f"`
+	// Heard is the newest attestation of each sibling that the sender has had, which
 	// bounds the age of this one by the sibling's own clock.
 	Heard     map[string]Echo `json:"h,omitempty"`
 	Withdrawn []Withdrawal    `json:"w,omitempty"`
 }
 
-// Echo names a vouch that was received.
+// Echo names an attestation that was received.
 type Echo struct {
 	Process uint64 `json:"p"`
 	Number  uint64 `json:"n"`
@@ -165,15 +165,15 @@
 
 // Withdrawal is a job that was withdrawn at a revision, with so many tasks done.
 type Withdrawal struct {
-	Job   JobID  `json:"j"`
-	Stamp Ledger `json:"s"`
-	Done  int    `json:"d,omitempty"`
+	Job     JobID    `json:"j"`
+	Version Revision `json:"s"`
+	Done    int      `json:"d,omitempty"`
 }
 
 // Heard says that a machine reported, with nothing new but this.
 type Heard struct {
-	Machine MachineID    `json:"m"`
-	Shift   Shift        `json:"s"`
-	Tally   Tally        `json:"t"`
-	Token   FencingToken `json:"b"`
+	Machine  MachineID    `json:"m"`
+	Session  Session      `json:"s"`
+	Sequence Sequence     `json:"t"`
+	Token    FencingToken `json:"b"`
 }
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -46,21 +46,21 @@
 
 // Report is what a worker says of itself, in /hello, /do and /show.
 type Report struct {
-	Machine MachineID    `json:"rig"`
-	Addr    string       `json:"addr"`
-	Type    string       `json:"rigtype"`
-	Zone    string       `json:"yard"`
-	Spot    bool         `json:"loaners"`
-	Shift   Shift        `json:"shift"`
-	Tally   Tally        `json:"tally"`
-	Token   FencingToken `json:"baton"`
-	RecallS *float64     `json:"recall_s,omitempty"`
-	Tasks   []TaskReport `json:"loads"`
+	Machine  MachineID    `json:"rig"`
+	Addr     string       `json:"addr"`
+	Type     string       `json:"rigtype"`
+	Zone     string       `json:"yard"`
+	Spot     bool         `json:"loaners"`
+	Session  Session      `json:"shift"`
+	Sequence Sequence     `json:"tally"`
+	Token    FencingToken `json:"baton"`
+	RecallS  *float64     `json:"recall_s,omitempty"`
+	Tasks    []TaskReport `json:"loads"`
 }
 
 // Newer reports whether r was made after o.
 func (r *Report) Newer(o *Report) bool {
-	return r.Shift > o.Shift || r.Shift == o.Shift && r.Tally > o.Tally
+	return r.Session > o.Session || r.Session == o.Session && r.Sequence > o.Sequence
 }
 
 // ParseReport reads and checks a worker's report.
@@ -84,7 +84,7 @@
 		return errors.New("report: bad addr")
 	case r.Type == "" || r.Zone == "":
 		return errors.New("report: no rigtype or yard")
-	case r.Shift == 0:
+	case r.Session == 0:
 		return errors.New("report: no shift")
 	case r.RecallS != nil && (math.IsNaN(*r.RecallS) || *r.RecallS < -maxAmount || *r.RecallS > maxAmount):
 		return errors.New("report: bad recall_s")
@@ -134,7 +134,7 @@
 
 // DoRequest is the body of /do.
 type DoRequest struct {
-	Token  FencingToken `json:"baton"`
-	Shift  Shift        `json:"shift"`
-	Orders []Order      `json:"orders"`
+	Token   FencingToken `json:"baton"`
+	Session Session      `json:"shift"`
+	Orders  []Order      `json:"orders"`
 }
