--- /dev/null
+++ b/cmd/lilacrill/load_users_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"lilacrill/internal/httpcall"
+	"lilacrill/wire"
+)
+
+func (l *load) submitServices() {
+	for n := range l.size.services {
+		spec := l.job(wire.ShapeService, wire.RankCritical, []int{3, 6, 8, 9}[n%4])
+		spec.Image = fmt.Sprint("service-", n%12)
+		go l.submit(spec, 0)
+	}
+}
+
+// ordinary submits arrays for a while.
+func (l *load) ordinary(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(l.size.arrayEvery) {
+		go l.submit(l.arrayJob(l.size.arrayTasks), 25*time.Second)
+	}
+}
+
+func (l *load) arrayJob(tasks int) wire.JobSpec {
+	spec := l.job(wire.ShapeArray, wire.RankNormal, tasks)
+	spec.Image = fmt.Sprint("array-", spec.ID[len(spec.ID)-1:])
+	return spec
+}
+
+func (l *load) job(shape wire.Shape, rank wire.Rank, tasks int) wire.JobSpec {
+	n := l.jobs.Add(1)
+	return wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", n)), Class: string(shape), Team: fmt.Sprint("team-", n%4), Shape: shape, Rank: rank,
+		Tasks: tasks, Cores: 1, MemGB: 2, ImageGB: 1, RuntimeS: 25}
+}
+
+// submit is a user: it submits a job until that is taken, and then asks about it
+// until it is over.
+func (l *load) submit(spec wire.JobSpec, runtime time.Duration) {
+	l.users.Add(1)
+	defer l.users.Done()
+	l.workers.Know(spec.ID, runtime)
+	var client *httpcall.Client
+	connect := func() {
+		if client != nil {
+			client.Close()
+		}
+		client = httpcall.New(l.addrs[rand.IntN(len(l.addrs))], 1, time.Minute)
+	}
+	connect()
+	defer func() { client.Close() }()
+	for l.ctx.Err() == nil {
+		status, err := client.Call(http.MethodPost, "/work", submissionOf(spec), 5*time.Second, nil)
+		if err == nil && (status == http.StatusCreated || status == http.StatusOK) {
+			l.served.Add(1)
+			break
+		}
+		l.refused.Add(1)
+		connect()
+		l.sleep(time.Second)
+	}
+	for l.ctx.Err() == nil {
+		l.sleep(time.Duration(l.pollEvery.Load()))
+		var s wire.JobStatus
+		status, err := client.Call(http.MethodGet, "/work/"+string(spec.ID), nil, 2*time.Second, map[int]any{http.StatusOK: &s})
+		l.polls.Add(1)
+		if s.Status.Final() {
+			return
+		}
+		if err != nil || status != http.StatusOK {
+			connect()
+		}
+	}
+}
+
+func (l *load) sleep(d time.Duration) {
+	select {
+	case <-l.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// submissionOf is a job as a user sends it, with every field that must be there.
+func submissionOf(spec wire.JobSpec) map[string]any {
+	return map[string]any{"id": spec.ID, "jobclass": spec.Class, "crew": spec.Team, "shape": spec.Shape, "rank": spec.Rank, "loads": spec.Tasks,
+		"cores": spec.Cores, "accelerators": 0, "mem_gb": spec.MemGB, "kit": spec.Image, "size_gb": spec.ImageGB, "together": false, "apart": false,
+		"loaners": false, "runtime_s": spec.RuntimeS, "savepoint_s": 0, "stash_s": 0}
+}
+
+// usualPoll is how often a user asks about a job.
+const usualPoll = 5 * time.Second
