--- a/cmd/lilacrill/admin.go
+++ b/cmd/lilacrill/admin.go
@@ -46,9 +46,11 @@
 		wire.ViewJobs:        "List the jobs that are not over, and why tasks wait",
 		wire.ViewSettings:    "Read the operators' settings and their version",
 		wire.ViewMetrics:     "Read counters and latencies",
+		wire.ViewRollout:     "Show which format of records is in force, and what the next one waits for",
 	}
+	views := map[wire.AdminView]*cobra.Command{}
 	for _, v := range wire.AdminViews {
-		cmd.AddCommand(&cobra.Command{
+		views[v] = &cobra.Command{
 			Use:   string(v),
 			Short: about[v],
 			Args:  cobra.NoArgs,
@@ -63,8 +65,10 @@
 				}
 				return requestReport(cmd.OutOrStdout(), answer)
 			},
-		})
+		}
+		cmd.AddCommand(views[v])
 	}
+	addRolloutCommands(views[wire.ViewRollout], client)
 	var version uint64
 	set := &cobra.Command{
 		Use:   "set NAME=VALUE...",
--- a/cmd/lilacrill/engine.go
+++ b/cmd/lilacrill/engine.go
@@ -24,6 +24,7 @@
 	"lilacrill/internal/server"
 	"lilacrill/internal/sockets"
 	"lilacrill/internal/statestore"
+	"lilacrill/internal/tracing"
 	"lilacrill/internal/worker"
 	"lilacrill/wire"
 )
@@ -47,6 +48,11 @@
 	cloud   *cloud.Client
 	workers *worker.Client
 	mesh    *peer.Mesh
+	tracer  *tracing.Tracer
+
+	// ending fires when this process must end because of cause.
+	ending <-chan time.Time
+	cause  error
 }
 
 // envelope is a request's input with where its reply goes.
@@ -65,9 +71,11 @@
 	gcPercent    = 200
 	megabyte     = 1 << 20
 	minimumProcs = 1
+	// retireGrace is how long a process that must end still answers.
+	retireGrace = 200 * time.Millisecond
 )
 
-func newEngine(set *config.Settings, log *slog.Logger) *engine {
+func newEngine(set *config.Settings, log *slog.Logger, tracer *tracing.Tracer) *engine {
 	debug.SetMemoryLimit(int64(set.Cluster.Quota.MemMB * memoryShare * megabyte))
 	debug.SetGCPercent(gcPercent)
 	runtime.GOMAXPROCS(max(minimumProcs, int(math.Ceil(set.Cluster.Quota.CoreShare))))
@@ -84,6 +92,7 @@
 		cloud:   cloud.New(set, log),
 		workers: worker.New(log, sockets.Share(set).Direct),
 		mesh:    peer.New(set, log),
+		tracer:  tracer,
 	}
 }
 
@@ -127,7 +136,7 @@
 	})
 	g.Go(func() error { e.mesh.Send(ctx); return nil })
 	g.Go(func() error { e.state.Serve(ctx.Done()); return nil })
-	g.Go(func() error { e.loop(ctx); return nil })
+	g.Go(func() error { return e.loop(ctx) })
 	err = g.Wait()
 	if errors.Is(err, net.ErrClosed) {
 		return nil
@@ -143,13 +152,16 @@
 	}
 }
 
-func (e *engine) loop(ctx context.Context) {
+// loop feeds the core until ctx ends or the core says that this process must end.
+func (e *engine) loop(ctx context.Context) error {
 	tick := time.NewTicker(core.TickEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
+		case <-e.ending:
+			return e.cause
 		case <-tick.C:
 			e.step(core.Tick{})
 		case in := <-e.results:
@@ -173,6 +185,13 @@
 	e.healthy.Store(e.core.Healthy())
 }
 
+// retire has the loop end, once requests that came until then were refused.
+func (e *engine) retire(cause error) {
+	if e.ending == nil {
+		e.ending, e.cause = time.After(retireGrace), cause
+	}
+}
+
 // back returns a call's result to the core.
 func back[R any](e *engine, id core.CallID) func(R) {
 	return func(r R) { e.results <- core.Returned{Call: id, Result: r} }
@@ -213,6 +232,10 @@
 		e.workers.Show(o.Addr, back[core.Answered](e, o.Call))
 	case core.Tell:
 		e.mesh.Tell(o.Line)
+	case core.RolloutEvent:
+		e.tracer.Rollout(o)
+	case core.Retire:
+		e.retire(o.Cause)
 	default:
 		panic(fmt.Sprintf("output %T not known", o))
 	}
--- a/cmd/lilacrill/main.go
+++ b/cmd/lilacrill/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -14,20 +15,27 @@
 	"github.com/spf13/cobra"
 
 	"lilacrill/internal/config"
+	"lilacrill/internal/release"
+	"lilacrill/internal/rollout"
+	"lilacrill/internal/tracing"
 )
 
-// version names the release.
-const version = "0.1.0"
+// statusUnreadable is the exit status of a process that cannot read the format in force.
+const statusUnreadable = 3
 
 func main() {
 	if err := rootCommand().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "lilacrill:", strings.ReplaceAll(err.Error(), "\n", " "))
+		var unreadable *rollout.UnreadableError
+		if errors.As(err, &unreadable) {
+			os.Exit(statusUnreadable)
+		}
 		os.Exit(1)
 	}
 }
 
 func rootCommand() *cobra.Command {
-	var path string
+	var path, features string
 	root := &cobra.Command{
 		Use:   "lilacrill --config FILE",
 		Short: "lilacrill schedules jobs onto rented machines",
@@ -36,6 +44,9 @@
 a key-value service. Several controllers run side by side, each with a settings
 file of its own; any of them may stop at any time.
 
+The exit status is 3 if the service has moved on to a format of records that this
+process does not read, and 1 after any other error.
+
 The log goes to standard error. LOG_LEVEL is error, info (the default) or debug.`,
 		Example: `  lilacrill --config /etc/lilacrill.toml     run a controller
   lilacrill check /etc/lilacrill.toml        only check its settings`,
@@ -46,10 +57,11 @@
 			if path == "" {
 				return cmd.Help()
 			}
-			return run(cmd.Context(), path)
+			return run(cmd.Context(), path, features)
 		},
 	}
 	root.Flags().StringVar(&path, "config", "", "the settings `FILE` (TOML) of this controller")
+	root.Flags().StringVar(&features, "features", "", "a features `FILE` (TOML): what is enabled beyond the ordinary")
 	root.AddCommand(&cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file and say what is wrong with it",
@@ -71,7 +83,7 @@
 		Short: "Print the version",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, err := fmt.Fprintln(cmd.OutOrStdout(), "lilacrill", version)
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "lilacrill", release.Version)
 			return err
 		},
 	})
@@ -79,22 +91,33 @@
 	return root
 }
 
-func run(ctx context.Context, path string) error {
+func run(ctx context.Context, path, features string) error {
 	set, err := config.Load(path)
 	if err != nil {
 		return err
 	}
+	if features != "" {
+		if set.Features, err = config.LoadFeatures(features); err != nil {
+			return err
+		}
+	}
 	log, err := logger(os.Getenv("LOG_LEVEL"))
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	log.Info("starting", "label", set.Label, "zone", set.Zone, "version", version)
+	log.Info("starting", "label", set.Label, "zone", set.Zone, "version", release.Version)
 	for _, w := range set.Warnings() {
 		log.Warn("settings", "warning", w)
 	}
-	return newEngine(set, log).run(ctx)
+	var tracer *tracing.Tracer
+	if file := set.Features.Tracing.File; file != "" {
+		if tracer, err = tracing.Open(file, set.Label); err != nil {
+			return err
+		}
+	}
+	return errors.Join(newEngine(set, log, tracer).run(ctx), tracer.Close())
 }
 
 // logger writes to standard error as much as level asks for.
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -33,6 +33,11 @@
 	return c.call(http.MethodPatch, wire.ViewSettings, s)
 }
 
+// ChangeRollout changes the rollout of a format against the version it was made from.
+func (c *Client) ChangeRollout(change wire.AdminRolloutChange) (json.RawMessage, error) {
+	return c.call(http.MethodPatch, wire.ViewRollout, change)
+}
+
 func (c *Client) call(method string, v wire.AdminView, body any) (json.RawMessage, error) {
 	var answer json.RawMessage
 	var problem wire.Problem
--- /dev/null
+++ b/internal/config/features_test.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestFeatures takes what is right, also what stands under deploy, and names the field
+// of what is unknown, wrong or contradicts itself.
+func TestFeatures(t *testing.T) {
+	f, err := ParseFeatures(nil)
+	require.NoError(t, err)
+	require.Equal(t, DefaultFeatures(), f)
+	f, err = ParseFeatures([]byte("[rollout]\nactivation = \"automatic\"\nsettle_s = 60.0\n"))
+	require.NoError(t, err)
+	require.Equal(t, time.Minute, f.Rollout.Settle())
+	for text, field := range map[string]string{
+		"[rollout]\nspeed = 3":                               "rollout.speed",
+		"[shares]\non = true":                                "shares",
+		"[rollout]\nactivation = \"never\"":                  "rollout.activation",
+		"[rollout]\nnewest_format = 0":                       "rollout.newest_format",
+		"[rollout]\nnewest_format = -1":                      "rollout.newest_format",
+		"[rollout]\nnewest_format = 3":                       "rollout.newest_format",
+		"[rollout]\nnewest_format = \"2\"":                   "newest_format",
+		"[rollout]\nsettle_s = 5.0":                          "rollout.settle_s",
+		"[rollout]\nactivation=\"automatic\"\nsettle_s=-1.0": "rollout.settle_s",
+		"[rollout]\nactivation=\"automatic\"\nsettle_s=nan":  "rollout.settle_s",
+		"rollout = 3":                                        "rollout",
+	} {
+		_, err := ParseFeatures([]byte(text))
+		require.ErrorContains(t, err, field, text)
+	}
+	files, err := filepath.Glob("../../deploy/features*.toml")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		_, err := LoadFeatures(file)
+		require.NoError(t, err)
+	}
+	_, err = LoadFeatures(filepath.Join(t.TempDir(), "none.toml"))
+	require.ErrorIs(t, err, os.ErrNotExist)
+}
+
+// TestSettingsOfLaterRelease: fields of a later release outlive a change that is made
+// through this one; a value that this one does not allow is not taken.
+func TestSettingsOfLaterRelease(t *testing.T) {
+	stored, err := ReadOperator(json.RawMessage(`{"idle_s":50,"later":{"x":[1,2]},"other":null}`))
+	require.NoError(t, err)
+	require.Equal(t, 50.0, stored.IdleS)
+	changed, err := stored.With(json.RawMessage(`{"idle_s":60}`))
+	require.NoError(t, err)
+	written, err := json.Marshal(changed)
+	require.NoError(t, err)
+	again, err := ReadOperator(written)
+	require.NoError(t, err)
+	require.Equal(t, 60.0, again.IdleS)
+	require.JSONEq(t, `{"x":[1,2]}`, string(again.later["later"]))
+	require.Contains(t, again.later, "other")
+	_, err = stored.With(json.RawMessage(`{"later":1}`))
+	require.ErrorContains(t, err, "later")
+	_, err = ReadOperator(json.RawMessage(`{"idle_s":1e9}`))
+	require.ErrorContains(t, err, "idle_s")
+}
--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -6,23 +6,27 @@
 
 	"lilacrill/internal/config"
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
 // operator is the operators' settings and their version; 0 while nobody has
 // changed the defaults.
 type operator struct {
-	chosen  config.Operator
+	chosen  config.StoredOperator
 	version wire.Revision
+	// strange is why the stored settings cannot be understood; they are not written
+	// over then.
+	strange error
 }
 
 func (c *Core) applySettings(value json.RawMessage, version wire.Revision) error {
-	chosen, err := config.DefaultOperator(), error(nil)
+	chosen := config.StoredOperator{Operator: config.DefaultOperator()}
 	if value != nil {
-		// Values that a newer release stored and this one does not know make it
+		// Values that a newer release stored and this one does not allow make it
 		// keep what it has.
-		if chosen, err = chosen.With(value); err != nil {
-			return err
+		if chosen, c.strange = config.ReadOperator(value); c.strange != nil {
+			return c.strange
 		}
 	}
 	c.chosen, c.version, c.dirty = chosen, version, true
@@ -49,17 +53,10 @@
 	case wire.ViewMetrics:
 		body = c.metrics.view()
 	case wire.ViewSettings:
-		if !c.stateFresh() {
-			c.unavailable(in.Request, "state service unavailable")
-			return
-		}
-		c.barrier(func(ok bool) {
-			if !ok {
-				c.unavailable(in.Request, "state service unavailable")
-				return
-			}
-			c.reply(in.Request, http.StatusOK, c.viewSettings())
-		})
+		c.afterBarrier(in.Request, func() { c.reply(in.Request, http.StatusOK, c.viewSettings()) })
+		return
+	case wire.ViewRollout:
+		c.viewRollout(in.Request)
 		return
 	default:
 		c.refuse(in.Request, http.StatusNotFound, "no such view", 0)
@@ -90,6 +87,9 @@
 		}
 		next, err := c.chosen.With(in.Change.Settings)
 		switch {
+		case c.strange != nil:
+			c.refuse(in.Request, http.StatusConflict, "the stored settings cannot be read by this release: "+c.strange.Error(), 0)
+			return
 		case err != nil:
 			c.refuse(in.Request, http.StatusBadRequest, err.Error(), 0)
 			return
@@ -98,8 +98,8 @@
 			return
 		}
 		c.commit(ClassAccept, wire.Transaction{
-			If:   []wire.Condition{{Key: settingsKey, Version: c.keyVersions[settingsKey]}},
-			Then: []wire.Change{put(settingsKey, next)},
+			If:   []wire.Condition{{Key: record.SettingsKey, Version: c.keyVersions[record.SettingsKey]}},
+			Then: []wire.Change{c.put(record.SettingsKey, next)},
 		}, func(r Committed) {
 			switch r.Outcome {
 			case Done:
--- a/internal/core/cancellation.go
+++ b/internal/core/cancellation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lilacrill/internal/config"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -198,7 +199,7 @@
 		// What is not newer than the feed is known, or was moved since to a key of
 		// its own.
 		if w.Version > c.feed && c.loaded {
-			c.apply(jobKey(w.Job), encode(overRecord{finalRecord{wire.StatusWithdrawn, w.Done}}), w.Version)
+			c.apply(record.JobKey(w.Job), encode(record.Over{Over: record.Final{Status: wire.StatusWithdrawn, Done: w.Done}}), w.Version)
 		}
 	}
 	echo, ok := v.Heard[c.settings.Label]
@@ -245,7 +246,7 @@
 		}
 		for i := range e.Tasks.All {
 			switch t := m.tasks[e.key(i)]; {
-			case t == nil && (e.Halt == HaltNo || e.Fence == 0 || m.newest.Token < e.Fence):
+			case t == nil && (e.Halt == record.HaltNo || e.Fence == 0 || m.newest.Token < e.Fence):
 				open, lacking = true, true
 			case t != nil && t.State != wire.TaskExited:
 				open = true
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -6,6 +6,7 @@
 
 	"lilacrill/internal/capacity"
 	"lilacrill/internal/config"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -143,10 +144,10 @@
 		return
 	}
 	c.claiming = true
-	claim := put(buyerKey, c.boot)
+	claim := c.put(record.BuyerKey, c.boot)
 	claim.LeaseID = c.leaseID
 	c.commit(ClassRest, wire.Transaction{
-		If:   []wire.Condition{{Key: buyerKey, Version: c.keyVersions[buyerKey]}},
+		If:   []wire.Condition{{Key: record.BuyerKey, Version: c.keyVersions[record.BuyerKey]}},
 		Then: []wire.Change{claim},
 	}, func(r Committed) {
 		c.claiming = false
@@ -169,8 +170,8 @@
 	c.claiming = true
 	c.log.Info("this controller reaches no workers and leaves buying to another")
 	c.commit(ClassRest, wire.Transaction{
-		If:   []wire.Condition{{Key: buyerKey, Version: c.keyVersions[buyerKey]}},
-		Then: []wire.Change{{Drop: buyerKey}},
+		If:   []wire.Condition{{Key: record.BuyerKey, Version: c.keyVersions[record.BuyerKey]}},
+		Then: []wire.Change{{Drop: record.BuyerKey}},
 	}, func(Committed) {
 		c.claiming = false
 		c.barrier(func(bool) {})
@@ -207,7 +208,9 @@
 	}
 	c.toldCloud = told
 	if len(news) > 0 {
-		c.do(Tell{&wire.PeerLine{From: c.settings.Label, Cloud: news}})
+		line := c.newLine()
+		line.Cloud = news
+		c.do(Tell{line})
 	}
 }
 
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strings"
 
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -30,7 +31,7 @@
 			c.written = max(c.written, r.Revision)
 			for _, ch := range txn.Then {
 				switch {
-				case ch.Put == tokenKey || known != "" && strings.HasPrefix(ch.Put, known):
+				case ch.Put == record.TokenKey || known != "" && strings.HasPrefix(ch.Put, known):
 				case ch.Put != "":
 					c.apply(ch.Put, ch.Value, r.Revision)
 				default:
@@ -45,13 +46,10 @@
 	}), class, txn})
 }
 
-func put(key string, v any) wire.Change { return wire.Change{Put: key, Value: encode(v)} }
-
-func encode(v any) json.RawMessage {
-	b, err := json.Marshal(v)
-	if err != nil {
-		// Only our own record types come here; none of them can fail.
-		panic(err)
-	}
-	return b
+// put writes a record in the format in force.
+func (c *Core) put(key string, v any) wire.Change {
+	return wire.Change{Put: key, Value: record.Encode(c.rollout.Format(), key, v)}
 }
+
+// encode writes a record in the first format.
+func encode(v any) json.RawMessage { return record.Encode(record.FormatPlain, "", v) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lilacrill/internal/config"
+	"lilacrill/internal/record"
 	"lilacrill/internal/sockets"
 	"lilacrill/wire"
 )
@@ -34,6 +35,7 @@
 	cloudView
 	planner
 	operator
+	rolloutState
 	metrics
 	cancellationKnowledge
 	peers map[string]*peerView
@@ -63,7 +65,8 @@
 	c.planner.init()
 	c.metrics.init()
 	c.cancellationKnowledge.init(c.rand.Uint64())
-	c.chosen = config.DefaultOperator()
+	c.chosen.Operator = config.DefaultOperator()
+	c.rolloutState.init(settings)
 	return c
 }
 
@@ -81,6 +84,10 @@
 	c.lastStep = c.now
 	c.wall = wall
 	c.out = c.out[:0]
+	if c.retired != nil {
+		c.refuseRetired(in)
+		return c.out
+	}
 	switch in := in.(type) {
 	case Tick:
 		c.tick()
@@ -102,9 +109,15 @@
 		c.view(in)
 	case ChangeAsked:
 		c.change(in)
+	case RolloutAsked:
+		c.changeRollout(in)
 	case PeerSaid:
 		c.peerSaid(in.Line)
 	}
+	if c.retired != nil {
+		c.retireNow()
+		return c.out
+	}
 	c.plan()
 	return c.out
 }
@@ -171,6 +184,7 @@
 	c.tickFleet()
 	c.tickCloud()
 	c.tickGarbage()
+	c.tickRollout()
 }
 
 // peerView is what a sibling last said of itself. It is a hint only.
@@ -207,7 +221,7 @@
 		return
 	}
 	c.nextTell = c.now.Add(tellEvery)
-	line := &wire.PeerLine{From: c.settings.Label, StateFresh: c.stateFresh()}
+	line := c.newLine()
 	if c.tellAll {
 		c.tellAll = false
 		for id, m := range c.machines {
@@ -235,7 +249,7 @@
 		m.told = r
 		if len(line.Reports) == reportsPerLine {
 			c.do(Tell{line})
-			line = &wire.PeerLine{From: c.settings.Label, StateFresh: c.stateFresh()}
+			line = c.newLine()
 		}
 	}
 	clear(c.toTell)
@@ -245,6 +259,16 @@
 	}
 }
 
+// newLine is an empty line in the format in force. Lines of the first format do not
+// name it: builds that know no other may read them.
+func (c *Core) newLine() *wire.PeerLine {
+	line := &wire.PeerLine{From: c.settings.Label, StateFresh: c.stateFresh()}
+	if f := c.rollout.Format(); f > record.FormatPlain {
+		line.Format = f
+	}
+	return line
+}
+
 // sameReport reports whether nothing changed between two reports of a machine
 // but their number and the token.
 func sameReport(a, b *wire.Report) bool {
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lilacrill/internal/fastjson"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -27,7 +28,7 @@
 )
 
 // ended finds how a job ended, if that is known here.
-func (c *Core) ended(id wire.JobID) (finalRecord, bool) {
+func (c *Core) ended(id wire.JobID) (record.Final, bool) {
 	if f, ok := c.over[id]; ok {
 		return f, true
 	}
@@ -37,7 +38,7 @@
 
 // applyFinal takes a final state under a key of its own into the cache.
 func (c *Core) applyFinal(id wire.JobID, value json.RawMessage) error {
-	var f finalRecord
+	var f record.Final
 	if err := fastjson.Unmarshal(value, &f); err != nil {
 		return err
 	}
@@ -48,7 +49,7 @@
 	return nil
 }
 
-func (c *Core) remember(id wire.JobID, f finalRecord) {
+func (c *Core) remember(id wire.JobID, f record.Final) {
 	if len(c.finals) >= maxFinals {
 		for old := range c.finals {
 			delete(c.finals, old)
@@ -71,7 +72,7 @@
 	}
 	oldest := make([]old, 0, len(c.over))
 	for id := range c.over {
-		oldest = append(oldest, old{id, c.keyVersions[jobKey(id)]})
+		oldest = append(oldest, old{id, c.keyVersions[record.JobKey(id)]})
 	}
 	slices.SortFunc(oldest, func(a, b old) int { return cmp.Or(cmp.Compare(a.version, b.version), cmp.Compare(a.id, b.id)) })
 	var txn wire.Transaction
@@ -82,8 +83,8 @@
 		if len(c.labels) > 0 && highest(c.labels, string(o.id)) != c.settings.Label {
 			continue
 		}
-		txn.If = append(txn.If, wire.Condition{Key: jobKey(o.id), Version: o.version}, wire.Condition{Key: finalKey(o.id)})
-		txn.Then = append(txn.Then, put(finalKey(o.id), c.over[o.id]), wire.Change{Drop: jobKey(o.id)})
+		txn.If = append(txn.If, wire.Condition{Key: record.JobKey(o.id), Version: o.version}, wire.Condition{Key: record.FinalKey(o.id)})
+		txn.Then = append(txn.Then, c.put(record.FinalKey(o.id), c.over[o.id]), wire.Change{Drop: record.JobKey(o.id)})
 	}
 	if len(txn.Then) == 0 {
 		return
--- a/internal/core/failing.go
+++ b/internal/core/failing.go
@@ -48,7 +48,7 @@
 
 // paused reports whether none of a job's tasks are to be placed for now. While it
 // pauses it takes part in nothing: it takes no room, no guarantee, no turn.
-func (c *Core) paused(j *job) bool { return !c.after(j.notBefore) }
+func (c *Core) paused(j *job) bool { return j.unreadable || !c.after(j.notBefore) }
 
 // noteError remembers that a task of a job failed on a machine.
 func (c *Core) noteError(j *job, m *machine) {
--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lilacrill/internal/config"
+	"lilacrill/internal/record"
 )
 
 // load reads everything anew: at the start, and when the feed no longer goes
@@ -18,6 +19,7 @@
 		c.stateAnswered()
 		finals := c.finals
 		c.store.init()
+		c.rollout.Reset()
 		c.finals = finals
 		c.withdrawn, c.withdrawnFrom = nil, 0
 		clear(c.overOn)
@@ -34,7 +36,7 @@
 		c.catchUp = l.Last
 		c.loading, c.loaded = false, true
 		c.watch()
-	}), loadPrefixes})
+	}), record.LoadPrefixes})
 }
 
 // watch keeps one open request on the feed.
@@ -59,7 +61,7 @@
 		if c.feed < c.catchUp {
 			c.watch()
 		}
-	}), Class: ClassUrgent, Under: rootKey, After: c.feed, Block: block})
+	}), Class: ClassUrgent, Under: record.RootKey, After: c.feed, Block: block})
 }
 
 const (
@@ -145,5 +147,5 @@
 			then(ok)
 		}
 		c.openBarrier()
-	}), Class: ClassAccept, Under: rootKey, After: after})
+	}), Class: ClassAccept, Under: record.RootKey, After: after})
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -202,6 +203,7 @@
 	c.probeReachability()
 	uncleared, oldest := 0, false
 	unreachable, reporting := 0, 0
+	var due []*machine // to be asked for their reports
 	c.up = 0
 	for _, m := range c.inOrder() {
 		if m.gone || c.now.Sub(c.lastSign(m)) > forgetAfter && c.now.Sub(m.listed) > forgetAfter {
@@ -225,7 +227,7 @@
 		}
 		if m.settled != m.newest && c.after(m.nextOrders) && quiet < c.silentAsk(m) {
 			for _, e := range m.entries {
-				if e.Launcher == c.boot && e.Halt == HaltNo {
+				if e.Launcher == c.boot && e.Halt == record.HaltNo {
 					if c.sendOrders(m) {
 						c.count(countResent, 1)
 					}
@@ -238,11 +240,12 @@
 		}
 		// Ask a silent worker itself: it may have lost its way to us. So is one
 		// that left a call unanswered, though its reports go on.
-		if m.addr != "" && m.status != wire.MachineBooting && !m.requestingReport && c.after(m.nextReportRequest) && c.mayAsk() &&
+		if m.addr != "" && m.status != wire.MachineBooting && !m.requestingReport && c.after(m.nextReportRequest) &&
 			(m.unanswered > 0 || quiet > c.silentAsk(m) && c.asks(m, quiet)) {
-			c.requestReport(m)
+			due = append(due, m)
 		}
 	}
+	c.requestReports(due)
 	c.unheard = unreachable > 2 && 3*unreachable > reporting
 	if uncleared > manyClears || oldest && c.now.Sub(c.lastBump) > sweepClears {
 		c.raiseToken()
--- a/internal/core/gangs.go
+++ b/internal/core/gangs.go
@@ -7,6 +7,7 @@
 
 	"lilacrill/internal/config"
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -19,15 +20,15 @@
 		if j.spec.Shape != wire.ShapeGang || r == nil || !c.ownsTeam(j.spec.Team) || !c.fits(r, 4) {
 			continue
 		}
-		if r.ends[id] {
+		if r.ends[id] || c.holds(id) {
 			continue
 		}
-		var placed TaskSet
+		var placed record.TaskSet
 		for _, l := range c.entriesOf(r, id) {
 			placed = placed.With(l.entry.Tasks)
 		}
 		if n := placed.Len(); n > 0 && n < j.spec.Tasks {
-			c.haltJob(r, id, HaltAtOnce)
+			c.haltJob(r, id, record.HaltAtOnce)
 		}
 	}
 }
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lilacrill/internal/config"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -164,7 +165,7 @@
 		}
 		for i := range e.Tasks.All {
 			t := m.tasks[e.key(i)]
-			if t == nil && (e.Halt != HaltNo || c.jobs[e.Job] == nil || !c.live(e.Launcher) || m.newest.Session > e.Session) ||
+			if t == nil && (e.Halt != record.HaltNo || c.jobs[e.Job] == nil || !c.live(e.Launcher) || m.newest.Session > e.Session) ||
 				t != nil && t.State == wire.TaskExited {
 				c.requestReport(m)
 				return
@@ -177,6 +178,31 @@
 // calls to them would pile up otherwise, with a socket each.
 func (c *Core) mayAsk() bool { return c.asking < max(1, c.callsAtOnce/asksPart) }
 
+// requestReports asks machines for their reports, as many as may be asked at a time:
+// those with critical tasks first, and of the rest those that were not asked for the
+// longest time. In the order of their names, a few that hang were asked over and over
+// while others that hang were never found silent.
+func (c *Core) requestReports(due []*machine) {
+	if len(due) == 0 || !c.mayAsk() {
+		return
+	}
+	slices.SortStableFunc(due, func(a, b *machine) int {
+		if critical := c.hasCriticalTasks(a); critical != c.hasCriticalTasks(b) {
+			if critical {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.nextReportRequest, b.nextReportRequest)
+	})
+	for _, m := range due {
+		if !c.mayAsk() {
+			return
+		}
+		c.requestReport(m)
+	}
+}
+
 // requestReport asks a worker for its report.
 func (c *Core) requestReport(m *machine) {
 	m.requestingReport = true
--- a/internal/core/images.go
+++ b/internal/core/images.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"lilacrill/internal/fastjson"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -94,7 +95,7 @@
 		return
 	}
 	c.noting = true
-	c.commit(ClassRest, wire.Transaction{Then: []wire.Change{put(imageKey(shard), noted)}}, func(Committed) { c.noting = false })
+	c.commit(ClassRest, wire.Transaction{Then: []wire.Change{c.put(record.ImageKey(shard), noted)}}, func(Committed) { c.noting = false })
 }
 
 // shardOf is the record that notes a machine's images.
--- a/internal/core/index.go
+++ b/internal/core/index.go
@@ -5,6 +5,7 @@
 
 	"lilacrill/internal/config"
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -133,7 +134,7 @@
 		h.Free = h.Free.Plus(e.need(), -float64(n))
 		h.Slots -= n
 		g := placement.Group{Team: p.team, Tags: tags, Count: n}
-		if e.Halt != HaltNo || j == nil {
+		if e.Halt != record.HaltNo || j == nil {
 			h.Freeing = h.Freeing.Plus(e.need(), float64(n))
 			g.Stopping = true
 		} else {
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -80,6 +80,11 @@
 		Request RequestID
 		Change  wire.AdminSettings
 	}
+	// RolloutAsked is an operator who wants to change the rollout of a format.
+	RolloutAsked struct {
+		Request RequestID
+		Change  wire.AdminRolloutChange
+	}
 	// PeerSaid is a line from another controller.
 	PeerSaid struct {
 		Line *wire.PeerLine
@@ -160,6 +165,36 @@
 	}
 	// Tell sends a line to all siblings.
 	Tell struct{ Line *wire.PeerLine }
+	// RolloutEvent is something that happened to this process in a rollout, for whoever
+	// traces it.
+	RolloutEvent struct {
+		Kind     RolloutEventKind
+		Format   wire.Format // in force
+		Boot     wire.FencingToken
+		Revision wire.Revision // up to which this process knows all changes
+	}
+	// Retire says that this process must end, and why: it would misread what others
+	// write.
+	Retire struct{ Cause error }
+)
+
+// RolloutEventKind is what happened to a process in a rollout.
+type RolloutEventKind string
+
+// The kinds of rollout events.
+const (
+	// RolloutRegistered: the process has registered what it reads.
+	RolloutRegistered RolloutEventKind = "registered"
+	// RolloutReady: it serves.
+	RolloutReady RolloutEventKind = "ready"
+	// RolloutActivated: it brought a format into force.
+	RolloutActivated RolloutEventKind = "activated"
+	// RolloutChanged: it carried out an operator's change.
+	RolloutChanged RolloutEventKind = "changed by an operator"
+	// RolloutInForce: it learnt of a format in force.
+	RolloutInForce RolloutEventKind = "in force"
+	// RolloutRetired: it must not serve any more.
+	RolloutRetired RolloutEventKind = "retired"
 )
 
 // Outcome is how a call to the state service or the cloud ended.
@@ -240,15 +275,16 @@
 	}
 )
 
-func (Tick) isInput()        {}
-func (Submitted) isInput()   {}
-func (Polled) isInput()      {}
-func (CancelAsked) isInput() {}
-func (Reported) isInput()    {}
-func (Returned) isInput()    {}
-func (PeerSaid) isInput()    {}
-func (ViewAsked) isInput()   {}
-func (ChangeAsked) isInput() {}
+func (Tick) isInput()         {}
+func (Submitted) isInput()    {}
+func (Polled) isInput()       {}
+func (CancelAsked) isInput()  {}
+func (Reported) isInput()     {}
+func (Returned) isInput()     {}
+func (PeerSaid) isInput()     {}
+func (ViewAsked) isInput()    {}
+func (ChangeAsked) isInput()  {}
+func (RolloutAsked) isInput() {}
 
 func (Reply) isOutput()          {}
 func (Load) isOutput()           {}
@@ -265,3 +301,5 @@
 func (Order) isOutput()          {}
 func (Show) isOutput()           {}
 func (Tell) isOutput()           {}
+func (RolloutEvent) isOutput()   {}
+func (Retire) isOutput()         {}
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -69,7 +70,7 @@
 			case t == nil:
 				// Only the recorded launcher launches, and after a take-over only
 				// when the worker has seen the token that fences off the one before.
-				if j == nil || e.Halt != HaltNo || e.Launcher != c.boot || r.Token < e.Fence {
+				if j == nil || e.Halt != record.HaltNo || e.Launcher != c.boot || r.Token < e.Fence {
 					continue
 				}
 				// A launch while it may have been withdrawn unknown to us would start it
@@ -80,9 +81,9 @@
 				}
 				orders = append(orders, wire.Order{Verb: wire.VerbLaunch, Task: id, Attempt: e.Attempt})
 			case t.State == wire.TaskExited:
-			case j == nil || e.Halt == HaltAtOnce:
+			case j == nil || e.Halt == record.HaltAtOnce:
 				orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: id, Attempt: e.Attempt, WindupS: windup(0)})
-			case e.Halt == HaltSave && t.State != wire.TaskFlushing:
+			case e.Halt == record.HaltSave && t.State != wire.TaskFlushing:
 				orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: id, Attempt: e.Attempt, WindupS: windup(j.spec.StashS + saveMargin)})
 			}
 		}
@@ -116,7 +117,7 @@
 	for i := range m.newest.Tasks {
 		t := &m.newest.Tasks[i]
 		key := attemptKey{t.Task, t.Attempt}
-		if recorded[key] {
+		if recorded[key] || c.holds(t.Task.Job) {
 			continue
 		}
 		seen[key] = true
@@ -280,7 +281,7 @@
 	}
 	c.lastBump = c.now
 	c.commit(ClassRest, wire.Transaction{
-		If:   []wire.Condition{{Key: tokenKey, Version: c.keyVersions[tokenKey]}},
-		Then: []wire.Change{put(tokenKey, c.token+1)},
+		If:   []wire.Condition{{Key: record.TokenKey, Version: c.keyVersions[record.TokenKey]}},
+		Then: []wire.Change{c.put(record.TokenKey, c.token+1)},
 	}, func(Committed) { c.barrier(func(bool) {}) })
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -6,6 +6,7 @@
 
 	"lilacrill/internal/config"
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -77,7 +78,7 @@
 	p := &placing{rounds: rounds, used: map[string]placement.Amount{}, own: map[wire.JobID][]*placement.Host{},
 		full: map[search][]placement.Amount{}, gathering: map[string]bool{},
 		ranked: map[like]*placement.Ranking{}}
-	placed := map[wire.JobID]TaskSet{}
+	placed := map[wire.JobID]record.TaskSet{}
 	zones := map[wire.JobID]string{}
 	p.fleet = c.hosts(rounds, func(pg *page, e *Entry, h *placement.Host) {
 		p.used[pg.team] = p.used[pg.team].Plus(e.need(), float64(e.Tasks.Len()))
@@ -164,7 +165,7 @@
 		p.used[team] = p.used[team].Plus(j.req.Need, float64(ch.Count))
 		m := c.machines[ch.Machine]
 		for left := ch.Count; left > 0; {
-			var tasks TaskSet
+			var tasks record.TaskSet
 			tasks, missing = missing.Take(min(left, c.entryTasks()))
 			left -= tasks.Len()
 			if !act {
@@ -173,7 +174,7 @@
 			if attempt == 0 {
 				attempt = wire.Attempt(c.serial())
 			}
-			e := Entry{head: head{Job: j.id, Attempt: attempt, Launcher: c.boot,
+			e := Entry{Head: record.Head{Job: j.id, Attempt: attempt, Launcher: c.boot,
 				Cores: j.spec.Cores, Accelerators: j.spec.Accelerators, MemGB: j.spec.MemGB,
 				Rank: j.spec.Rank.Order(), Shape: j.spec.Shape}, Machine: m.id, Session: m.newest.Session, Tasks: tasks}
 			if !c.fits(r, 0) || !c.add(r, m.zone, e) {
@@ -186,7 +187,7 @@
 			}
 			r.places = true
 			r.urgent = r.urgent || j.spec.Rank == wire.RankCritical
-			r.conds[jobKey(j.id)] = j.version
+			r.conds[record.JobKey(j.id)] = j.version
 			r.skip[m.id] = true
 			r.tell[m.id] = true
 			c.count(countPlaced, tasks.Len())
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
 // waiting is a job with tasks that are not placed.
 type waiting struct {
 	job      *job
-	missing  TaskSet
+	missing  record.TaskSet
 	zone     string // where its tasks are, if it is to stay together
 	promised bool   // within its team's guarantee
 	due      int64  // the next target that it can still meet, in Unix milliseconds
@@ -33,7 +34,7 @@
 }
 
 // queue is all that waits, most urgent first.
-func (c *Core) queue(rounds map[string]*round, placed map[wire.JobID]TaskSet, zones map[wire.JobID]string, rest bool) []waiting {
+func (c *Core) queue(rounds map[string]*round, placed map[wire.JobID]record.TaskSet, zones map[wire.JobID]string, rest bool) []waiting {
 	if rest {
 		c.within = c.promised()
 	}
@@ -43,11 +44,15 @@
 		if !rest && j.spec.Rank != wire.RankCritical {
 			continue
 		}
+		if c.holds(id) {
+			j.why = "its record, or a placement record of its team, cannot be read"
+			continue
+		}
 		if c.paused(j) {
 			j.why = "its tasks failed; they are tried again after a pause"
 			continue
 		}
-		missing := Span(0, j.spec.Tasks).Without(j.done).Without(placed[id])
+		missing := record.Span(0, j.spec.Tasks).Without(j.done).Without(placed[id])
 		if r := c.teamOf(j.spec.Team).writing; r != nil {
 			missing = missing.Without(r.done[id])
 		} else if r := rounds[j.spec.Team]; r != nil {
@@ -106,7 +111,7 @@
 		}
 	}
 	for _, j := range c.jobs {
-		if j.spec.Shape == wire.ShapeService && j.strikes == 0 {
+		if j.spec.Shape == wire.ShapeService && j.strikes == 0 && !j.unreadable {
 			cores -= j.spec.Cores * float64(j.spec.Tasks)
 		}
 	}
@@ -180,7 +185,7 @@
 func (c *Core) promised() map[wire.JobID]bool {
 	byTeam := map[string][]*job{}
 	for _, j := range c.jobs {
-		if j.strikes > 0 {
+		if j.strikes > 0 || j.unreadable {
 			continue // it takes nothing, so it takes up no guarantee
 		}
 		byTeam[j.spec.Team] = append(byTeam[j.spec.Team], j)
--- a/internal/core/returning.go
+++ b/internal/core/returning.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lilacrill/internal/config"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -23,6 +24,12 @@
 	whyGone  = "gone with work on it"
 )
 
+// mayBeBusy reports whether a machine without entries reports tasks of which the
+// records cannot be read.
+func (c *Core) mayBeBusy(m *machine) bool {
+	return len(c.unreadable) > 0 && slices.ContainsFunc(m.newest.Tasks, func(t wire.TaskReport) bool { return c.holds(t.Task.Job) })
+}
+
 // reviewMachines finds machines that should go: dead, silent, never up, or idle.
 func (c *Core) reviewMachines() {
 	silence, idle := config.Seconds(c.chosen.SilenceS), config.Seconds(c.chosen.IdleS)
@@ -74,7 +81,7 @@
 		}
 		quiet := c.now.Sub(c.lastSign(m))
 		busy := len(m.entries) > 0
-		if busy || m.reserved || m.newest == nil {
+		if busy || m.reserved || m.newest == nil || c.mayBeBusy(m) {
 			m.idleSince = 0
 		} else if m.idleSince == 0 {
 			m.idleSince = c.now
@@ -90,7 +97,8 @@
 			// Tasks of jobs that are over must be gone in time, and it cannot be
 			// told: whatever the bounds, it goes.
 			c.markReturn(m, whyEnded)
-		case quiet > c.silenceTolerance(m, silence) && (m.unansweredRequests >= 2 || c.unaddressed(m, quiet)) && !cutOff && (busy || c.now.Sub(m.listed) < forgetAfter):
+		case quiet > c.silenceTolerance(m, silence) && (m.unansweredRequests >= 2 || c.unaddressed(m, quiet)) && !cutOff &&
+			!c.mayBeCut(m, lastHeard[m.zone], quiet-c.silenceTolerance(m, silence)) && (busy || c.now.Sub(m.listed) < forgetAfter):
 			if c.mayGiveUp(m, reporting) {
 				c.markReturn(m, "silent")
 			}
@@ -176,6 +184,15 @@
 	return max(silence, 2*config.Seconds(c.settings.Cluster.Workers.ReportS))
 }
 
+// mayBeCut reports whether nothing shows yet that a silent machine fell silent by
+// itself: no machine of its zone was heard after it first left a call unanswered. Where
+// few machines of a zone have reason to be asked early, a cut is seen only once the
+// others should have reported; the first of them was returned meanwhile.
+func (c *Core) mayBeCut(m *machine, zoneHeard Time, overdue time.Duration) bool {
+	others := config.Seconds(1.3*c.settings.Cluster.Workers.ReportS) + askedBySome
+	return m.unanswered > 0 && zoneHeard <= m.unreachableSince && overdue < others
+}
+
 // siblingsWell reports whether all other living controllers talk to us.
 func (c *Core) siblingsWell() bool {
 	for label := range c.nodes {
@@ -218,7 +235,7 @@
 	if c.returnsCall || !c.after(c.nextReturns) {
 		return
 	}
-	next := returnsRecord{Going: map[string][]wire.MachineID{}}
+	next := record.Returns{Going: map[string][]wire.MachineID{}}
 	changed := len(c.toReturn) > 0
 	room := c.pageLimit() - len(`{"going":{},"gone":[]}`)
 	keep := func(list []wire.MachineID, id wire.MachineID) []wire.MachineID {
@@ -264,8 +281,8 @@
 	c.nextReturns = c.now.Add(returnsEvery)
 	// One write for all that goes, which replicas wait for: ahead of submissions.
 	c.commit(ClassUrgent, wire.Transaction{
-		If:   []wire.Condition{{Key: returnsKey, Version: c.keyVersions[returnsKey]}},
-		Then: []wire.Change{put(returnsKey, next)},
+		If:   []wire.Condition{{Key: record.ReturnsKey, Version: c.keyVersions[record.ReturnsKey]}},
+		Then: []wire.Change{c.put(record.ReturnsKey, next)},
 	}, func(r Committed) {
 		c.returnsCall = false
 		if r.Outcome != NotDone {
--- /dev/null
+++ b/internal/core/rollout.go
@@ -0,0 +1,199 @@
+package core
+
+import (
+	"errors"
+	"net/http"
+
+	"lilacrill/internal/config"
+	"lilacrill/internal/release"
+	"lilacrill/internal/rollout"
+	"lilacrill/wire"
+)
+
+// rolloutState is this process's part in the rollout of formats.
+type rolloutState struct {
+	rollout *rollout.Tracker
+	// retired is why this process must not serve; nil while it may.
+	retired    error
+	activating bool
+}
+
+func (s *rolloutState) init(settings *config.Settings) {
+	var siblings []string
+	for _, sibling := range settings.Siblings {
+		siblings = append(siblings, sibling.Label)
+	}
+	s.rollout = rollout.New(settings.Label, siblings, settings.Features.Rollout.Formats(), release.Version)
+}
+
+// applyRollout takes the format in force. It comes before any record of that format:
+// the feed is in order, and a controller that reads everything anew reads it first and
+// acts on nothing before it has caught up.
+func (c *Core) applyRollout(value []byte, version wire.Revision) {
+	before := c.rollout.Format()
+	c.rollout.ApplyState(value, version)
+	if c.retired = c.rollout.Readable(); c.retired != nil {
+		c.log.Error("this process must not serve", "err", c.retired)
+		return
+	}
+	if f := c.rollout.Format(); f != before {
+		c.log.Info("format in force", "format", f, "before", before, "revision", version)
+		c.rolloutEvent(RolloutInForce)
+	}
+}
+
+// rolloutEvent tells whoever traces the rollout what happened to this process in it.
+func (c *Core) rolloutEvent(kind RolloutEventKind) {
+	c.do(RolloutEvent{Kind: kind, Format: c.rollout.Format(), Boot: c.boot, Revision: c.feed})
+}
+
+// retireNow takes back what this step wanted to do, since it may rest on records that
+// were misread, and says that the process must end.
+func (c *Core) retireNow() {
+	var refused []Output
+	for _, o := range c.out {
+		if r, ok := o.(Reply); ok {
+			refused = append(refused, c.retiredReply(r.Request))
+		}
+	}
+	c.out = append(refused, Retire{c.retired})
+	c.rolloutEvent(RolloutRetired)
+}
+
+// refuseRetired answers what still comes to a process that is about to end.
+func (c *Core) refuseRetired(in Input) {
+	switch in := in.(type) {
+	case Submitted:
+		c.do(c.retiredReply(in.Request))
+	case Polled:
+		c.do(c.retiredReply(in.Request))
+	case CancelAsked:
+		c.do(c.retiredReply(in.Request))
+	case Reported:
+		c.do(c.retiredReply(in.Request))
+	case ViewAsked:
+		c.do(c.retiredReply(in.Request))
+	case ChangeAsked:
+		c.do(c.retiredReply(in.Request))
+	case RolloutAsked:
+		c.do(c.retiredReply(in.Request))
+	}
+}
+
+func (c *Core) retiredReply(r RequestID) Reply {
+	return Reply{Request: r, Status: http.StatusServiceUnavailable, Body: wire.Problem{Error: c.retired.Error()}, RetryAfter: comeBackLater}
+}
+
+// tickRollout activates a format that all controllers are ready for, where the
+// deployment wants that. One controller tries, so that writes are not lost; whether it
+// may is up to the transaction.
+func (c *Core) tickRollout() {
+	set := &c.settings.Features.Rollout
+	if set.Activation != config.ActivationAutomatic || c.activating || c.buyer != c.boot || !c.whole() || !c.stateFresh() {
+		return
+	}
+	next, due := c.rollout.Automatic(rollout.Time(c.now), set.Settle())
+	if !due {
+		return
+	}
+	txn, err := c.rollout.Activate(next, c.rollout.Demand().Version)
+	if err != nil {
+		return
+	}
+	c.activating = true
+	c.commit(ClassRest, txn, func(r Committed) {
+		c.barrier(func(bool) { c.activating = false })
+		if r.Outcome == Done {
+			c.rolloutEvent(RolloutActivated)
+			c.log.Info("format activated: all controllers have been ready for it", "format", next)
+		}
+	})
+}
+
+// viewRollout answers with the rollout as of now or later.
+func (c *Core) viewRollout(r RequestID) {
+	c.afterBarrier(r, func() { c.reply(r, http.StatusOK, c.rollout.View()) })
+}
+
+// afterBarrier goes on once the cache holds all that was written before now; if that
+// cannot be had it answers the request itself.
+func (c *Core) afterBarrier(r RequestID, then func()) {
+	if !c.stateFresh() {
+		c.unavailable(r, "state service unavailable")
+		return
+	}
+	c.barrier(func(ok bool) {
+		if !ok {
+			c.unavailable(r, "state service unavailable")
+			return
+		}
+		then()
+	})
+}
+
+// changeRollout carries out what an operator asks of the rollout.
+func (c *Core) changeRollout(in RolloutAsked) {
+	if !c.serving(in.Request) {
+		return
+	}
+	c.afterBarrier(in.Request, func() {
+		txn, err := c.rolloutTransaction(in.Change)
+		if err != nil {
+			c.refuseRollout(in.Request, err)
+			return
+		}
+		if most := 4 * c.settings.Cluster.State.TxnOps; len(txn.If) > most {
+			c.refuse(in.Request, http.StatusConflict, "more controllers than one transaction of the state service can demand", 0)
+			return
+		}
+		c.commit(ClassAccept, txn, func(r Committed) {
+			switch r.Outcome {
+			case Done:
+				c.rolloutEvent(RolloutChanged)
+				c.log.Info("rollout changed by an operator", "format", c.rollout.Format(), "activate", in.Change.Activate != nil,
+					"exclude", in.Change.Exclude, "reason", in.Change.Reason, "include", in.Change.Include)
+				c.reply(in.Request, http.StatusOK, c.rollout.View())
+			case Conflict:
+				c.refuse(in.Request, http.StatusConflict, "the controllers or the rollout have changed meanwhile: read the rollout again", 0)
+			default:
+				c.unavailable(in.Request, "state service unavailable; read the rollout to see whether it was changed")
+			}
+		})
+	})
+}
+
+func (c *Core) rolloutTransaction(change wire.AdminRolloutChange) (wire.Transaction, error) {
+	switch {
+	case change.Activate != nil:
+		return c.rollout.Activate(*change.Activate, change.Version)
+	case change.Exclude != "":
+		return c.rollout.Exclude(change.Exclude, change.Reason, change.Version)
+	default:
+		return c.rollout.Include(change.Include, change.Version)
+	}
+}
+
+func (c *Core) refuseRollout(r RequestID, err error) {
+	status := http.StatusConflict
+	var field *rollout.FieldError
+	if errors.As(err, &field) {
+		status = http.StatusBadRequest
+	}
+	c.refuse(r, status, err.Error(), 0)
+}
+
+// valueBound is the most that a record may expand to: what a value may take or, where
+// that limit was lowered since, what a transaction may.
+func (c *Core) valueBound() int { return max(c.pageLimit(), maxTxnBytes) }
+
+// noteReadable notes whether a record could be understood. One that could not, damaged
+// or of a shape that is not known here, takes nothing else down: what is known of the
+// job or the team from before stands, and nothing new is done on that ground.
+func (c *Core) noteReadable(key string, err error) {
+	if err == nil {
+		delete(c.unreadable, key)
+		return
+	}
+	c.log.Error("record in the state service not understood", "key", key, "err", err)
+	c.unreadable[key] = err
+}
--- a/internal/core/rounds.go
+++ b/internal/core/rounds.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"lilacrill/internal/config"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -12,7 +13,7 @@
 type round struct {
 	team   *team
 	pages  map[string]*page // drafts of the pages it changes
-	done   map[wire.JobID]TaskSet
+	done   map[wire.JobID]record.TaskSet
 	ends   map[wire.JobID]bool // the jobs that it ends
 	adds   map[string]bool     // zones in which it adds entries
 	wrote  map[string]bool     // pages that the transaction changes
@@ -29,7 +30,7 @@
 }
 
 func (c *Core) newRound(t *team) *round {
-	return &round{team: t, pages: map[string]*page{}, done: map[wire.JobID]TaskSet{}, ends: map[wire.JobID]bool{},
+	return &round{team: t, pages: map[string]*page{}, done: map[wire.JobID]record.TaskSet{}, ends: map[wire.JobID]bool{},
 		adds: map[string]bool{}, wrote: map[string]bool{}, conds: map[string]wire.Revision{}, skip: map[wire.MachineID]bool{}, tell: map[wire.MachineID]bool{}}
 }
 
@@ -70,7 +71,7 @@
 func (c *Core) end(r *round, j *job) {
 	r.ends[j.id] = true
 	r.ops++
-	r.conds[jobKey(j.id)] = j.version
+	r.conds[record.JobKey(j.id)] = j.version
 }
 
 // write commits a round and, once it stands, tells the machines.
@@ -86,13 +87,13 @@
 		d := r.pages[key]
 		r.conds[key] = d.version
 		r.wrote[key] = true
-		txn.Then = append(txn.Then, put(key, d.value()))
+		txn.Then = append(txn.Then, c.put(key, d.value()))
 	}
 	for _, id := range sortedKeys(r.ends) {
-		txn.Then = append(txn.Then, put(jobKey(id), overRecord{finalRecord{Status: wire.StatusDone, Done: c.jobs[id].spec.Tasks}}))
+		txn.Then = append(txn.Then, c.put(record.JobKey(id), record.Over{Over: record.Final{Status: wire.StatusDone, Done: c.jobs[id].spec.Tasks}}))
 	}
 	if r.bump {
-		txn.Then = append(txn.Then, put(tokenKey, c.token+1))
+		txn.Then = append(txn.Then, c.put(record.TokenKey, c.token+1))
 	}
 	if len(txn.Then) == 0 {
 		return
@@ -105,21 +106,21 @@
 		// The heads of all the team's zones stand for every record that the
 		// decision read; one that does not exist yet must still not.
 		for _, zone := range c.settings.Cluster.Zones {
-			key := pageKey(t.name, zone, 0)
+			key := record.PageKey(t.name, zone, 0)
 			if p := t.pages[key]; p != nil {
 				r.conds[key] = p.version
 			} else {
 				r.conds[key] = 0
 			}
 		}
-		r.conds[returnsKey] = c.keyVersions[returnsKey]
+		r.conds[record.ReturnsKey] = c.keyVersions[record.ReturnsKey]
 	}
 	for _, key := range sortedKeys(r.conds) {
 		txn.If = append(txn.If, wire.Condition{Key: key, Version: r.conds[key]})
 	}
 	t.writing = r
 	sent := c.now
-	c.commitKnown(class, txn, pagePrefix, func(res Committed) {
+	c.commitKnown(class, txn, record.PagePrefix, func(res Committed) {
 		c.dirty = true
 		c.urgent = c.urgent || c.criticalWaits
 		if res.Outcome == Done {
@@ -197,17 +198,18 @@
 	return keys
 }
 
-// bulk is how many bytes a page's value takes.
+// bulk is how many bytes a page's plain value takes: it fits whether or not it is
+// compressed.
 func bulk(p *page) int {
 	if p.size <= 0 {
 		p.measure()
 	}
-	return len(put(p.key, p.value()).Value)
+	return len(encode(p.value()))
 }
 
 func sameRecord(a, b *page) bool {
 	return len(a.done) == len(b.done) && slices.EqualFunc(a.entries, b.entries, equalEntry) &&
-		maps.EqualFunc(a.done, b.done, TaskSet.Equal)
+		maps.EqualFunc(a.done, b.done, record.TaskSet.Equal)
 }
 
 // adopt takes a round's pages into the cache as they were written.
@@ -262,7 +264,7 @@
 }
 
 func equalEntry(a, b Entry) bool {
-	return a.head == b.head && a.Machine == b.Machine && a.Session == b.Session && a.Tasks.Equal(b.Tasks)
+	return a.Head == b.Head && a.Machine == b.Machine && a.Session == b.Session && a.Tasks.Equal(b.Tasks)
 }
 
 func (c *Core) pageLimit() int { return int(c.settings.Cluster.State.ValueKB * 1024) }
@@ -273,11 +275,11 @@
 
 // headOf is the head of a team's pages in a zone, empty if there is none yet.
 func (c *Core) headOf(t *team, zone string) *page {
-	key := pageKey(t.name, zone, 0)
+	key := record.PageKey(t.name, zone, 0)
 	if p := t.pages[key]; p != nil {
 		return p
 	}
-	return &page{key: key, team: t.name, zone: zone, size: pageRoom}
+	return &page{key: key, team: t.name, zone: zone, size: record.PageRoom}
 }
 
 // add puts a new entry on a page of its zone that has room, or on a new one.
@@ -293,13 +295,13 @@
 		first = 1
 	}
 	for n := first; ; n++ {
-		key := pageKey(t.name, zone, n)
+		key := record.PageKey(t.name, zone, n)
 		p := t.pages[key]
 		if p == nil {
 			if n > 1 && n < t.count[zone] {
 				return false // a page that we have not read
 			}
-			p = &page{key: key, team: t.name, zone: zone, n: n, size: pageRoom}
+			p = &page{key: key, team: t.name, zone: zone, n: n, size: record.PageRoom}
 		}
 		cur := r.view(p)
 		size := e.roomAfter(cur.entries)
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -73,6 +74,7 @@
 	}
 	if !c.ready && c.boot != 0 && c.token >= c.boot {
 		c.ready, c.readyAt = true, c.now
+		c.rolloutEvent(RolloutReady)
 		c.log.Info("ready", "boot", c.boot, "ledger", c.feed, "jobs", len(c.jobs))
 	}
 }
@@ -108,16 +110,20 @@
 // the token: whatever an earlier process of any name sent is fenced off from
 // every worker that has seen it, and the number names this process's hires
 // and attempts.
+//
+// It demands the format in force that this process knows: one that cannot read a newer
+// format is neither listed before it learns of that nor after.
 func (c *Core) join() {
 	c.joining = true
 	boot := c.boot
-	var txn wire.Transaction
+	txn := wire.Transaction{If: []wire.Condition{c.rollout.Demand()}}
 	if boot == 0 {
 		boot = c.token + 1
-		txn.If = []wire.Condition{{Key: tokenKey, Version: c.keyVersions[tokenKey]}}
-		txn.Then = []wire.Change{put(tokenKey, boot)}
+		txn.If = append(txn.If, wire.Condition{Key: record.TokenKey, Version: c.keyVersions[record.TokenKey]})
+		txn.Then = []wire.Change{c.put(record.TokenKey, boot),
+			c.put(record.MemberKey(c.settings.Label), c.rollout.Registration(boot))}
 	}
-	node := put(nodeKey(c.settings.Label), nodeRecord{Boot: boot, Isolated: c.isolated()})
+	node := c.put(record.NodeKey(c.settings.Label), record.Node{Boot: boot, Isolated: c.isolated()})
 	node.LeaseID = c.leaseID
 	txn.Then = append(txn.Then, node)
 	leaseID := c.leaseID
@@ -125,7 +131,10 @@
 		c.joining = false
 		switch r.Outcome {
 		case Done:
-			c.boot = boot
+			if c.boot == 0 {
+				c.boot = boot
+				c.rolloutEvent(RolloutRegistered)
+			}
 			c.enrolled = c.leaseID == leaseID
 		case Conflict:
 			c.barrier(func(bool) {})
@@ -202,7 +211,7 @@
 			c.sweeping = true
 			c.commit(ClassRest, wire.Transaction{
 				If:   []wire.Condition{{Key: key, Version: p.version}},
-				Then: []wire.Change{put(key, d.value())},
+				Then: []wire.Change{c.put(key, d.value())},
 			}, func(Committed) { c.sweeping = false })
 			return
 		}
@@ -210,8 +219,8 @@
 }
 
 // living is what of the done sets belongs to jobs that are not over.
-func (c *Core) living(done map[wire.JobID]TaskSet) map[wire.JobID]TaskSet {
-	out := map[wire.JobID]TaskSet{}
+func (c *Core) living(done map[wire.JobID]record.TaskSet) map[wire.JobID]record.TaskSet {
+	out := map[wire.JobID]record.TaskSet{}
 	for id, set := range done {
 		if c.jobs[id] != nil {
 			out[id] = set
--- a/internal/core/spares.go
+++ b/internal/core/spares.go
@@ -43,7 +43,7 @@
 	classes := map[key]*seen{}
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
-		if j.strikes > 0 {
+		if j.strikes > 0 || j.unreadable {
 			continue
 		}
 		k := key{j.spec.Class, j.spec.Image}
--- a/internal/core/stopping.go
+++ b/internal/core/stopping.go
@@ -5,11 +5,12 @@
 	"slices"
 
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
 // halt marks tasks of an entry to be stopped.
-func (c *Core) halt(r *round, p *page, e *Entry, tasks TaskSet, how Halt) {
+func (c *Core) halt(r *round, p *page, e *Entry, tasks record.TaskSet, how record.Halt) {
 	d := c.draft(r, p)
 	for i := range d.entries {
 		x := &d.entries[i]
@@ -25,7 +26,7 @@
 		part := *x
 		part.Tasks = stopped
 		if d.size+part.roomAfter(nil) > c.pageLimit() {
-			rest = TaskSet{} // no room to split the entry: stop all of it
+			rest = record.TaskSet{} // no room to split the entry: stop all of it
 		}
 		// What was fenced was the launcher before, not this stop.
 		if rest.Empty() {
@@ -41,7 +42,7 @@
 }
 
 // haltJob marks all of a job's tasks to be stopped.
-func (c *Core) haltJob(r *round, id wire.JobID, how Halt) {
+func (c *Core) haltJob(r *round, id wire.JobID, how record.Halt) {
 	for _, l := range c.entriesOf(r, id) {
 		if l.entry.Halt < how {
 			e := *l.entry
@@ -59,7 +60,7 @@
 		}
 		for _, e := range m.entries {
 			j := c.jobs[e.Job]
-			if j == nil || e.Halt != HaltNo || !c.ownsTeam(j.spec.Team) {
+			if j == nil || e.Halt != record.HaltNo || !c.ownsTeam(j.spec.Team) {
 				continue
 			}
 			r := rounds[j.spec.Team]
@@ -70,13 +71,13 @@
 			left := m.recallAt.Sub(c.now).Seconds()
 			if saves && left < j.spec.StashS+2*saveMargin || j.spec.Shape == wire.ShapeService {
 				if j.spec.Shape == wire.ShapeGang {
-					c.haltJob(r, j.id, HaltSave)
+					c.haltJob(r, j.id, record.HaltSave)
 					continue
 				}
 				for _, l := range c.entriesOf(r, j.id) {
-					if l.entry.Machine == m.id && l.entry.Halt == HaltNo {
+					if l.entry.Machine == m.id && l.entry.Halt == record.HaltNo {
 						x := *l.entry
-						c.halt(r, l.page, &x, x.Tasks, HaltSave)
+						c.halt(r, l.page, &x, x.Tasks, record.HaltSave)
 					}
 				}
 			}
@@ -138,7 +139,7 @@
 // own. Urgent work is never stopped for a guarantee.
 func (c *Core) preemptable(rounds map[string]*round, e *Entry, w *waiting, promised bool) bool {
 	j := c.jobs[e.Job]
-	if j == nil || e.Halt != HaltNo || c.within[e.Job] && !promised {
+	if j == nil || e.Halt != record.HaltNo || c.within[e.Job] && !promised {
 		return false
 	}
 	// Old work is not stopped for what is merely of higher rank: it would start
@@ -163,9 +164,9 @@
 // none if there would not be.
 func (c *Core) makeRoom(rounds map[string]*round, h *placement.Host, w *waiting, promised bool) bool {
 	need := w.job.req.Need
-	how := HaltSave
+	how := record.HaltSave
 	if w.job.spec.Rank == wire.RankCritical {
-		how = HaltAtOnce // it cannot wait for others to save
+		how = record.HaltAtOnce // it cannot wait for others to save
 	}
 	room := h.Free.Plus(h.Freeing, 1)
 	if room.Covers(need) {
@@ -182,15 +183,15 @@
 	})
 	type stop struct {
 		e     *Entry
-		tasks TaskSet
+		tasks record.TaskSet
 	}
 	var stops []stop
 	for _, e := range victims {
 		left := c.unhalted(rounds, e)
 		for !left.Empty() && !room.Covers(need) {
-			var one TaskSet
+			var one record.TaskSet
 			if e.Shape == wire.ShapeGang {
-				one, left = left, TaskSet{}
+				one, left = left, record.TaskSet{}
 			} else {
 				_, last := left.Take(left.Len() - 1)
 				one, left = last, left.Without(last)
@@ -208,7 +209,7 @@
 			c.haltJob(r, s.e.Job, how)
 		} else {
 			for _, l := range c.entriesOf(r, s.e.Job) {
-				if l.entry.Machine == s.e.Machine && l.entry.Attempt == s.e.Attempt && l.entry.Halt == HaltNo {
+				if l.entry.Machine == s.e.Machine && l.entry.Attempt == s.e.Attempt && l.entry.Halt == record.HaltNo {
 					x := *l.entry
 					c.halt(r, l.page, &x, s.tasks, how)
 				}
@@ -220,11 +221,11 @@
 }
 
 // unhalted is what of an entry the rounds have not stopped yet.
-func (c *Core) unhalted(rounds map[string]*round, e *Entry) TaskSet {
-	var left TaskSet
+func (c *Core) unhalted(rounds map[string]*round, e *Entry) record.TaskSet {
+	var left record.TaskSet
 	r := rounds[c.jobs[e.Job].spec.Team]
 	for _, l := range c.entriesOf(r, e.Job) {
-		if l.entry.Machine == e.Machine && l.entry.Attempt == e.Attempt && l.entry.Halt == HaltNo {
+		if l.entry.Machine == e.Machine && l.entry.Attempt == e.Attempt && l.entry.Halt == record.HaltNo {
 			left = left.With(l.entry.Tasks)
 		}
 	}
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -6,6 +6,7 @@
 
 	"lilacrill/internal/fastjson"
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -26,18 +27,21 @@
 	tokenVersion wire.Revision
 
 	jobs          map[wire.JobID]*job
-	finals        map[wire.JobID]finalRecord // of jobs whose final states have keys of their own: a cache
-	over          map[wire.JobID]finalRecord // of jobs in whose records they stand: all of them
+	finals        map[wire.JobID]record.Final // of jobs whose final states have keys of their own: a cache
+	over          map[wire.JobID]record.Final // of jobs in whose records they stand: all of them
 	filing        bool
 	nextFile      Time
 	teams         map[string]*team
 	nodes         map[string]wire.FencingToken
 	isolatedNodes map[string]bool
-	returns       returnsRecord
+	returns       record.Returns
 	leaving       map[wire.MachineID]leavingEntry // the machines that are going
 	buyer         wire.FencingToken
-	stateOK       Time
-	watching      bool
+	// unreadable holds the job and placement records that cannot be understood, by
+	// key, with the cause.
+	unreadable map[string]error
+	stateOK    Time
+	watching   bool
 
 	barrierOpen bool
 	barrierFrom Time            // not before, so that users who ask do not use up the tokens
@@ -54,7 +58,7 @@
 	at      int64
 	by      wire.FencingToken
 	version wire.Revision
-	done    TaskSet
+	done    record.TaskSet
 	req     *placement.Request
 
 	// What follows is only known here.
@@ -65,6 +69,8 @@
 	// launching is the attempt of a gang that is being launched, since launchFrom.
 	launching  wire.Attempt
 	launchFrom Time
+	// unreadable says that its record cannot be understood (see holdJob).
+	unreadable bool
 }
 
 // leavingEntry says why a machine is going, and since which revision that stands.
@@ -89,12 +95,13 @@
 	s.keyVersions = map[string]wire.Revision{}
 	s.dropped = map[string]wire.Revision{}
 	s.jobs = map[wire.JobID]*job{}
-	s.finals = map[wire.JobID]finalRecord{}
-	s.over = map[wire.JobID]finalRecord{}
+	s.finals = map[wire.JobID]record.Final{}
+	s.over = map[wire.JobID]record.Final{}
 	s.teams = map[string]*team{}
 	s.nodes = map[string]wire.FencingToken{}
 	s.isolatedNodes = map[string]bool{}
-	s.returns, s.leaving = returnsRecord{}, map[wire.MachineID]leavingEntry{}
+	s.unreadable = map[string]error{}
+	s.returns, s.leaving = record.Returns{}, map[wire.MachineID]leavingEntry{}
 }
 
 func (s *store) teamOf(name string) *team {
@@ -109,7 +116,10 @@
 // apply takes one change into the cache, unless it is older than what is
 // there. A nil value drops the key.
 func (c *Core) apply(key string, value json.RawMessage, version wire.Revision) {
-	if id, ok := strings.CutPrefix(key, finalPrefix); ok {
+	if c.retired != nil {
+		return // what follows may be of a format that is not read here
+	}
+	if id, ok := strings.CutPrefix(key, record.FinalPrefix); ok {
 		// Written once and never changed, so there is no version to keep.
 		if err := c.applyFinal(wire.JobID(id), value); err != nil {
 			c.log.Error("final state not understood", "key", key, "err", err)
@@ -127,7 +137,11 @@
 	}
 	var err error
 	switch {
-	case key == tokenKey:
+	case key == record.RolloutKey:
+		c.applyRollout(value, version)
+	case strings.HasPrefix(key, record.MemberPrefix):
+		err = c.rollout.ApplyMember(strings.TrimPrefix(key, record.MemberPrefix), value, version)
+	case key == record.TokenKey:
 		var n wire.FencingToken
 		if value != nil {
 			err = fastjson.Unmarshal(value, &n)
@@ -135,39 +149,39 @@
 		if err == nil && n > c.token {
 			c.token, c.tokenVersion = n, version
 		}
-	case key == buyerKey:
+	case key == record.BuyerKey:
 		c.buyer = 0
 		if value != nil {
 			err = fastjson.Unmarshal(value, &c.buyer)
 		}
 		c.assign()
-	case key == settingsKey:
+	case key == record.SettingsKey:
 		err = c.applySettings(value, version)
-	case strings.HasPrefix(key, nodePrefix):
-		label := strings.TrimPrefix(key, nodePrefix)
+	case strings.HasPrefix(key, record.NodePrefix):
+		label := strings.TrimPrefix(key, record.NodePrefix)
 		if value == nil {
 			delete(c.nodes, label)
 			delete(c.isolatedNodes, label)
+			c.rollout.ApplyNode(label, 0, version)
 		} else {
-			var n nodeRecord
+			var n record.Node
 			if err = fastjson.Unmarshal(value, &n); err == nil {
 				c.nodes[label] = n.Boot
 				c.isolatedNodes[label] = n.Isolated
+				c.rollout.ApplyNode(label, n.Boot, version)
 			}
 		}
 		c.assign()
-	case strings.HasPrefix(key, jobPrefix):
-		err = c.applyJob(wire.JobID(strings.TrimPrefix(key, jobPrefix)), value, version)
-	case strings.HasPrefix(key, pagePrefix):
+	case strings.HasPrefix(key, record.JobPrefix):
+		err = c.applyJob(wire.JobID(strings.TrimPrefix(key, record.JobPrefix)), value, version)
+	case strings.HasPrefix(key, record.PagePrefix):
 		err = c.applyPage(key, value, version)
-	case strings.HasPrefix(key, imagePrefix):
-		err = c.applyImages(strings.TrimPrefix(key, imagePrefix), value)
-	case key == returnsKey:
+	case strings.HasPrefix(key, record.ImagePrefix):
+		err = c.applyImages(strings.TrimPrefix(key, record.ImagePrefix), value)
+	case key == record.ReturnsKey:
 		err = c.applyReturns(value, version)
 	}
-	if err != nil {
-		c.log.Error("record in the state service not understood", "key", key, "err", err)
-	}
+	c.noteReadable(key, err)
 }
 
 func (c *Core) applyJob(id wire.JobID, value json.RawMessage, version wire.Revision) error {
@@ -181,8 +195,9 @@
 		delete(c.over, id)
 		return nil
 	}
-	var r jobRecord
-	if err := fastjson.Unmarshal(value, &r); err != nil {
+	var r record.Job
+	if err := record.Decode(value, c.valueBound(), &r); err != nil {
+		c.holdJob(id, version)
 		return err
 	}
 	if r.Over != nil {
@@ -201,29 +216,64 @@
 	}
 	j := c.jobs[id]
 	if j == nil {
-		j = &job{id: id}
-		j.errors, j.avoid = map[wire.MachineID]Time{}, map[wire.MachineID]Time{}
-		j.seen = c.now
-		c.jobs[id] = j
+		j = c.newJob(id)
 		// While everything is read anew, a page may have come before its job.
 		for _, p := range c.teamOf(r.Spec.Team).pages {
 			j.done = j.done.With(p.done[id])
 		}
 	}
 	c.urgent = c.urgent || r.Spec.Rank == wire.RankCritical
-	j.spec, j.at, j.by, j.version = r.Spec, r.At, r.By, version
+	j.spec, j.at, j.by, j.version, j.unreadable = r.Spec, r.At, r.By, version, false
 	j.req = placement.NewRequest(&j.spec)
 	return nil
 }
 
+// holdJob keeps a job whose record cannot be understood as it is: its tasks run on,
+// none is placed or taken for the last one, and its users are told to come back.
+func (c *Core) holdJob(id wire.JobID, version wire.Revision) {
+	delete(c.over, id)
+	j := c.jobs[id]
+	if j == nil {
+		j = c.newJob(id)
+		j.spec = wire.JobSpec{ID: id, Tasks: wire.MaxTasks}
+		j.req = placement.NewRequest(&j.spec)
+	}
+	j.version, j.unreadable = version, true
+}
+
+func (c *Core) newJob(id wire.JobID) *job {
+	j := &job{id: id, seen: c.now}
+	j.errors, j.avoid = map[wire.MachineID]Time{}, map[wire.MachineID]Time{}
+	c.jobs[id] = j
+	return j
+}
+
+// holdsTeam reports whether a placement record of a team cannot be understood: what
+// stands on it is not known, so nothing of the team is placed or cleared, and its
+// limit, its gangs and what its machines report without a record are left alone.
+func (c *Core) holdsTeam(team string) bool {
+	for key := range c.unreadable {
+		if strings.HasPrefix(key, record.PagePrefix+team+"/") {
+			return true
+		}
+	}
+	return false
+}
+
+// holds reports whether what a machine reports of a job cannot be judged.
+func (c *Core) holds(id wire.JobID) bool {
+	j := c.jobs[id]
+	return len(c.unreadable) > 0 && j != nil && (j.unreadable || c.holdsTeam(j.spec.Team))
+}
+
 func (c *Core) applyPage(key string, value json.RawMessage, version wire.Revision) error {
-	name, zone, n, err := parsePageKey(key)
+	name, zone, n, err := record.ParsePageKey(key)
 	if err != nil {
 		return err
 	}
 	p := &page{key: key, team: name, zone: zone, n: n, version: version}
-	var v pageValue
-	if err := fastjson.Unmarshal(value, &v); err != nil {
+	var v record.Page
+	if err := record.Decode(value, c.valueBound(), &v); err != nil {
 		return err
 	}
 	if err := p.unpack(&v); err != nil {
@@ -269,7 +319,7 @@
 // applyReturns takes the list of machines about to be returned and of those that
 // are gone.
 func (c *Core) applyReturns(value json.RawMessage, version wire.Revision) error {
-	var d returnsRecord
+	var d record.Returns
 	if value != nil {
 		if err := fastjson.Unmarshal(value, &d); err != nil {
 			return err
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -6,6 +6,7 @@
 
 	"lilacrill/internal/config"
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -109,8 +110,8 @@
 		}
 	}})
 	c.commit(ClassAccept, wire.Transaction{
-		If:   []wire.Condition{{Key: jobKey(id)}, {Key: finalKey(id)}},
-		Then: []wire.Change{put(jobKey(id), jobRecord{Spec: in.Spec, At: c.wall, By: c.boot})},
+		If:   []wire.Condition{{Key: record.JobKey(id)}, {Key: record.FinalKey(id)}},
+		Then: []wire.Change{c.put(record.JobKey(id), record.Job{Spec: in.Spec, At: c.wall, By: c.boot})},
 	}, func(r Committed) {
 		c.accepting--
 		if r.Outcome == Done {
@@ -193,7 +194,7 @@
 	return ""
 }
 
-func finalStatus(id wire.JobID, f finalRecord) wire.JobStatus {
+func finalStatus(id wire.JobID, f record.Final) wire.JobStatus {
 	return wire.JobStatus{ID: id, Status: f.Status, Done: f.Done}
 }
 
@@ -217,14 +218,17 @@
 			then(finalStatus(id, f), true)
 			return
 		}
-		if j := c.jobs[id]; j != nil {
+		if j := c.jobs[id]; j != nil && j.unreadable {
+			c.unavailable(r, "the job's record cannot be read")
+			return
+		} else if j != nil {
 			then(c.status(j), true)
 			return
 		}
 		c.do(Fetch{call(c, func(f Fetched) {
 			switch f.Outcome {
 			case Done:
-				c.apply(finalKey(id), f.Value, f.Version)
+				c.apply(record.FinalKey(id), f.Value, f.Version)
 				if f, ok := c.ended(id); ok {
 					then(finalStatus(id, f), true)
 				} else {
@@ -236,7 +240,7 @@
 			default:
 				c.unavailable(r, "state service unavailable")
 			}
-		}), finalKey(id)})
+		}), record.FinalKey(id)})
 	})
 }
 
@@ -280,10 +284,10 @@
 			c.unavailable(r, "state changed; try again")
 			return
 		}
-		end := finalRecord{Status: wire.StatusWithdrawn, Done: s.Done}
+		end := record.Final{Status: wire.StatusWithdrawn, Done: s.Done}
 		c.commit(ClassUrgent, wire.Transaction{
-			If:   []wire.Condition{{Key: jobKey(id), Version: j.version}},
-			Then: []wire.Change{put(jobKey(id), overRecord{end})},
+			If:   []wire.Condition{{Key: record.JobKey(id), Version: j.version}},
+			Then: []wire.Change{c.put(record.JobKey(id), record.Over{Over: end})},
 		}, func(done Committed) {
 			switch done.Outcome {
 			case Done:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,15 +5,13 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
-	"errors"
 	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"lilacrill/internal/config"
-	"lilacrill/internal/fastjson"
+	"lilacrill/internal/record"
 	"lilacrill/internal/sockets"
 	"lilacrill/wire"
 )
@@ -66,7 +64,7 @@
 
 // Tell sends a line to all siblings; to one that does not keep up it is lost.
 func (m *Mesh) Tell(l *wire.PeerLine) {
-	b, err := json.Marshal(l)
+	b, err := record.EncodeLine(l)
 	if err != nil {
 		m.log.Error("line not written", "err", err)
 		return
@@ -159,7 +157,7 @@
 		if conn.SetReadDeadline(time.Now().Add(readTimeout)) != nil || !lines.Scan() {
 			return
 		}
-		l, err := Parse(lines.Bytes())
+		l, err := record.DecodeLine(lines.Bytes())
 		if err != nil {
 			m.log.Warn("peer's line dropped", "from", conn.RemoteAddr(), "err", err)
 			continue
@@ -167,23 +165,3 @@
 		said(l)
 	}
 }
-
-// Parse reads and checks one line.
-func Parse(b []byte) (*wire.PeerLine, error) {
-	var l wire.PeerLine
-	if err := fastjson.Unmarshal(b, &l); err != nil {
-		return nil, err
-	}
-	if l.From == "" {
-		return nil, errors.New("line without a sender")
-	}
-	for _, r := range l.Reports {
-		if r == nil {
-			return nil, errors.New("line with an empty report")
-		}
-		if err := r.Check(); err != nil {
-			return nil, err
-		}
-	}
-	return &l, nil
-}
--- /dev/null
+++ b/internal/record/fixtures_test.go
@@ -0,0 +1,135 @@
+package record
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lilacrill/wire"
+)
+
+const bound = 64 << 10
+
+// sample is a record with its key and something to read it into.
+type sample struct {
+	name  string
+	key   string
+	value any
+	into  func() any
+}
+
+func jobSpec() wire.JobSpec {
+	return wire.JobSpec{ID: "wk-000412", Class: "train", Team: "vision", Shape: wire.ShapeGang, Rank: wire.RankHigh, Tasks: 16,
+		Cores: 8, Accelerators: 1, MemGB: 64, Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, Together: true, Spot: true,
+		RuntimeS: 240, SavepointS: 30, StashS: 4, DueS: 900}
+}
+
+// samples has one of each record. Their files in testdata say how each format writes
+// them: a change that reads them otherwise needs a format of its own.
+func samples() []sample {
+	long := jobSpec()
+	for i := range 80 {
+		long.Types = append(long.Types, "machine-type-"+strconv.Itoa(i))
+	}
+	page := pageWith(6, 5)
+	page.Done = map[wire.JobID]TaskSet{"wk-000007": Span(0, 3).With(Span(7, 8))}
+	return []sample{
+		{"job", JobKey("wk-000412"), &Job{Spec: jobSpec(), At: 1_700_000_000_123, By: 41}, func() any { return new(Job) }},
+		{"job-long", JobKey("wk-000412"), &Job{Spec: long, At: 1_700_000_000_123, By: 41}, func() any { return new(Job) }},
+		{"over", JobKey("wk-000412"), &Over{Final{wire.StatusWithdrawn, 3}}, func() any { return new(Over) }},
+		{"final", FinalKey("wk-000412"), &Final{wire.StatusDone, 16}, func() any { return new(Final) }},
+		{"node", NodeKey("rig-0"), &Node{Boot: 41, Isolated: true}, func() any { return new(Node) }},
+		{"returns", ReturnsKey, &Returns{Going: map[string][]wire.MachineID{"idle": {"m-000231"}}, Gone: []wire.MachineID{"m-000230"}}, func() any { return new(Returns) }},
+		{"images", ImageKey(3), &Images{"m-000231": {"img-07", "img-08"}}, func() any { return new(Images) }},
+		{"page-small", PageKey("vision", "east", 0), &Page{Groups: []Group{}}, func() any { return new(Page) }},
+		{"page", PageKey("vision", "east", 1), &page, func() any { return new(Page) }},
+		{"rollout", RolloutKey, &Rollout{Format: 2, Excluded: map[string]Exclusion{"rig-2": {Boot: 7, Reason: "its host burnt"}}}, func() any { return new(Rollout) }},
+		{"member", MemberKey("rig-0"), &Member{Boot: 41, Formats: FormatRange{Oldest: 1, Newest: 2}, Release: "0.2.0"}, func() any { return new(Member) }},
+	}
+}
+
+// TestFixtures reads every record as each format wrote it, and wants the first format,
+// and later ones where they do not compress, written as ever.
+func TestFixtures(t *testing.T) {
+	for format := Oldest; format <= Newest; format++ {
+		for _, s := range samples() {
+			path := filepath.Join("testdata", "format-"+strconv.Itoa(int(format)), s.name+".json")
+			stored, err := os.ReadFile(path)
+			require.NoError(t, err)
+			read := s.into()
+			require.NoError(t, Decode(stored, bound, read), path)
+			require.Equal(t, s.value, read, path)
+			written := Encode(format, s.key, s.value)
+			if isString(stored) {
+				require.True(t, isString(written), path)
+			} else {
+				require.Equal(t, string(stored), string(written), path)
+			}
+		}
+	}
+}
+
+// TestLineFixtures does so for the lines between controllers.
+func TestLineFixtures(t *testing.T) {
+	for format := Oldest; format <= Newest; format++ {
+		path := filepath.Join("testdata", "format-"+strconv.Itoa(int(format)), "line.json")
+		stored, err := os.ReadFile(path)
+		require.NoError(t, err)
+		line, err := DecodeLine(stored)
+		require.NoError(t, err)
+		require.Equal(t, "rig-1", line.From)
+		require.Len(t, line.Reports, 1)
+		written, err := EncodeLine(line)
+		require.NoError(t, err)
+		require.Equal(t, string(stored), string(written))
+	}
+}
+
+// TestFormatsRoundTrip writes generated placement records in both formats: they come
+// back as they were, and no value is larger than its plain one.
+func TestFormatsRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		page := pageWith(rapid.IntRange(1, 40).Draw(t, "jobs"), rapid.IntRange(1, 9).Draw(t, "machines"))
+		before := plain(page)
+		for format := Oldest; format <= Newest; format++ {
+			value := Encode(format, PageKey("t", "z", 0), page)
+			require.LessOrEqual(t, len(value), len(before))
+			require.True(t, json.Valid(value))
+			var back Page
+			require.NoError(t, Decode(value, bound, &back))
+			require.Equal(t, string(before), string(plain(back)))
+		}
+	})
+}
+
+// TestDamagedValues spoils a compressed value in every way that storage may: it is
+// refused with a cause, or reads as what it was.
+func TestDamagedValues(t *testing.T) {
+	page := pageWith(30, 6)
+	good := Encode(FormatCompressed, PageKey("t", "z", 0), page)
+	require.True(t, isString(good))
+	var into Page
+	require.ErrorIs(t, Decode(good, 1000, &into), ErrTooLarge)
+	for _, bad := range []string{`""`, `"x"`, `"AAAA"`, `"KLUv/WQ="`, `"` + strings.Repeat("A", 4000) + `"`, `7`, `[]`, `"` + "\xff" + `"`} {
+		require.Error(t, Decode(json.RawMessage(bad), bound, &into), bad)
+	}
+	for size := range len(good) - 1 { // one more and its last quote is all that is cut and put back
+		require.Error(t, Decode(good[:size], bound, &into))
+		cut := append(append(json.RawMessage{}, good[:max(1, size)]...), '"')
+		require.Error(t, Decode(cut, bound, &into))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		spoilt := append(json.RawMessage{}, good...)
+		spoilt[rapid.IntRange(1, len(spoilt)-2).Draw(t, "at")] ^= 1 << rapid.IntRange(0, 6).Draw(t, "bit")
+		var back Page
+		if Decode(spoilt, bound, &back) == nil {
+			require.Equal(t, string(plain(page)), string(plain(back)))
+		}
+	})
+}
--- /dev/null
+++ b/internal/record/line.go
@@ -0,0 +1,41 @@
+package record
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"lilacrill/internal/fastjson"
+	"lilacrill/wire"
+)
+
+// ErrLineFormat is the cause for which a line of a format that this build does not
+// read is refused.
+var ErrLineFormat = errors.New("line of a format that this build does not read")
+
+// EncodeLine writes a line between controllers, without its end, in the line's format.
+// The formats so far differ in that later ones name themselves.
+func EncodeLine(line *wire.PeerLine) ([]byte, error) { return json.Marshal(line) }
+
+// DecodeLine reads and checks a line of any format.
+func DecodeLine(b []byte) (*wire.PeerLine, error) {
+	var line wire.PeerLine
+	if err := fastjson.Unmarshal(b, &line); err != nil {
+		return nil, err
+	}
+	if line.From == "" {
+		return nil, errors.New("line without a sender")
+	}
+	if line.Format < 0 || line.Format > Newest {
+		return nil, fmt.Errorf("%w: %d", ErrLineFormat, line.Format)
+	}
+	for _, r := range line.Reports {
+		if r == nil {
+			return nil, errors.New("line with an empty report")
+		}
+		if err := r.Check(); err != nil {
+			return nil, err
+		}
+	}
+	return &line, nil
+}
--- a/internal/peer/main_test.go
+++ b/internal/record/main_test.go
@@ -1,4 +1,4 @@
-package peer
+package record
 
 import (
 	"testing"
--- a/internal/core/taskset.go
+++ b/internal/record/taskset.go
@@ -1,4 +1,4 @@
-package core
+package record
 
 import (
 	"encoding/json"
@@ -31,8 +31,8 @@
 	return n
 }
 
-// room is how many bytes the set's JSON takes, give or take a comma.
-func (s TaskSet) room() int {
+// Room is how many bytes the set's JSON takes, give or take a comma.
+func (s TaskSet) Room() int {
 	n := len(`[]`)
 	for _, r := range s.ranges {
 		n += digits(r[0]) + len(`,`)
@@ -54,6 +54,9 @@
 // Equal reports whether both sets have the same members.
 func (s TaskSet) Equal(o TaskSet) bool { return slices.Equal(s.ranges, o.ranges) }
 
+// First is the lowest member of a set that is not empty.
+func (s TaskSet) First() int { return s.ranges[0][0] }
+
 // Empty reports whether the set has no members.
 func (s TaskSet) Empty() bool { return len(s.ranges) == 0 }
 
--- a/internal/core/taskset_test.go
+++ b/internal/record/taskset_test.go
@@ -1,4 +1,4 @@
-package core
+package record
 
 import (
 	"encoding/json"
--- /dev/null
+++ b/internal/release/release.go
@@ -0,0 +1,5 @@
+// Package release names the release that this program is.
+package release
+
+// Version is the release.
+const Version = "0.2.0"
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -87,6 +87,22 @@
 	})
 }
 
+// lineLate has a copy of a line come late, perhaps.
+func (w *World) lineLate(to *node, line wire.PeerLine) {
+	if w.LateLines == 0 || w.rng.Float64() >= w.LateLines {
+		return
+	}
+	w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(time.Minute))), func() {
+		if to.core == nil {
+			return
+		}
+		if line.Format < w.FormatInForce() && w.FormatInForce() > 1 {
+			w.Seen["line of an earlier format"]++
+		}
+		w.step(to, core.PeerSaid{Line: &line})
+	})
+}
+
 // toNode sends a request to a controller.
 func (w *World) toNode(n *node, makeInput func(core.RequestID) core.Input, then func(core.Reply)) {
 	if r, fromWorker := makeInput(0).(core.Reported); fromWorker && w.rng.Float64() < w.KeepReports {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -54,6 +54,9 @@
 	CloseLooks bool
 	// Seen counts what took place, by name, for a test to show that it did.
 	Seen map[string]int
+	// LateLines is the part of the lines between controllers of which a copy comes late,
+	// from seconds to a minute, to whatever process has the label then.
+	LateLines float64
 	// LateReports is the part of the reports of which a copy comes late, from
 	// seconds to well over a lease.
 	LateReports float64
@@ -69,6 +72,12 @@
 	// SlowState is added to the state service's answers.
 	SlowState time.Duration
 
+	// Features are what the controllers are started with, by their number; those that are
+	// not there have DefaultFeatures.
+	Features map[int]config.Features
+	// Retired is the processes that ended because they could not read the format in force.
+	Retired []Retirement
+
 	// CalmAt is when the last trouble was over; 0 while some may still come.
 	CalmAt time.Duration
 
@@ -92,6 +101,12 @@
 	log      *slog.Logger
 }
 
+// Retirement is the end of a process that could not read the format in force.
+type Retirement struct {
+	Controller int
+	Cause      error
+}
+
 type watcher struct {
 	f    core.Follow
 	n    *node
@@ -151,7 +166,7 @@
 		GangWait: config.Seconds(set.Cluster.Workers.GangWaitS), GangPeer: config.Seconds(set.Cluster.Workers.GangPeerS),
 		Cancel:   config.Seconds(set.Cluster.Workers.CancelS),
 		Capacity: 3,
-		Seen:     map[string]int{}, CutState: map[int]bool{}, CutWorkers: map[int]bool{}, CutPeers: map[int]bool{},
+		Seen:     map[string]int{}, CutState: map[int]bool{}, CutWorkers: map[int]bool{}, CutPeers: map[int]bool{}, Features: map[int]config.Features{},
 		rng: rand.New(rand.NewPCG(seed, 7)), store: NewStore(),
 		byID: map[wire.MachineID]*machine{}, hires: map[string][]wire.MachineID{}, types: types,
 		jobs: map[wire.JobID]*userJob{}, log: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -236,6 +251,10 @@
 		}
 	}
 	set.Cluster.Size = len(w.nodes)
+	set.Features = config.DefaultFeatures()
+	if f, ok := w.Features[i]; ok {
+		set.Features = f
+	}
 	n.core = core.New(&set, w.log.With("node", set.Label, "gen", n.gen), w.rng.Uint64())
 	n.born = w.now
 	n.replies = map[core.RequestID]func(core.Reply){}
@@ -365,6 +384,15 @@
 			}
 			return core.Granted{LeaseID: o.LeaseID}
 		})
+	case core.RolloutEvent:
+		w.Seen[string(o.Kind)]++
+	case core.Retire:
+		w.Retired = append(w.Retired, Retirement{Controller: n.index, Cause: o.Cause})
+		w.after(0, func() {
+			if n.gen == gen {
+				w.Stop(n.index)
+			}
+		})
 	case core.Share:
 	case core.ReadCatalogue:
 		w.cloud(n, o.Call, core.CatalogueRead{Outcome: core.NotDone}, func() any {
@@ -391,6 +419,7 @@
 	case core.Show:
 		w.direct(n, o.Call, o.Addr, 800*time.Millisecond, func(m *machine) core.Answered { return core.Answered{Report: m.report()} })
 	case core.Tell:
+		w.checkLine(o.Line)
 		for _, s := range w.nodes {
 			if s != n && s.core != nil && !w.CutPeers[n.index] && !w.CutPeers[s.index] && w.rng.Float64() >= max(w.Loss, w.PeerLoss) {
 				line := *o.Line
@@ -400,6 +429,7 @@
 						w.step(to, core.PeerSaid{Line: &line})
 					}
 				})
+				w.lineLate(to, line)
 			}
 		}
 	default:
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -1,6 +1,12 @@
 package wire
 
-import "encoding/json"
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
 
 // The administration API, under /admin/v1. Each view is answered by whatever
 // controller is asked, as it sees things.
@@ -16,10 +22,11 @@
 	ViewJobs        AdminView = "jobs"
 	ViewSettings    AdminView = "settings"
 	ViewMetrics     AdminView = "metrics"
+	ViewRollout     AdminView = "rollout"
 )
 
 // AdminViews lists the views.
-var AdminViews = []AdminView{ViewControllers, ViewTeams, ViewMachines, ViewJobs, ViewSettings, ViewMetrics}
+var AdminViews = []AdminView{ViewControllers, ViewTeams, ViewMachines, ViewJobs, ViewSettings, ViewMetrics, ViewRollout}
 
 // AdminController is one controller.
 type AdminController struct {
@@ -117,3 +124,81 @@
 	P99   int64 `json:"p99"`
 	Max   int64 `json:"max"`
 }
+
+// AdminRollout is which format is in force, and what the next one waits for.
+type AdminRollout struct {
+	Version Revision `json:"version"`
+	Format  Format   `json:"format"`
+	// Oldest and Newest are what the controller that was asked reads.
+	Oldest Format `json:"oldest"`
+	Newest Format `json:"newest"`
+	// Next is the format that could come next, if there is one, and Ready says that
+	// nobody holds it up.
+	Next        Format                   `json:"next,omitempty"`
+	Ready       bool                     `json:"ready"`
+	Controllers []AdminRolloutController `json:"controllers"`
+}
+
+// AdminRolloutController is one controller in a rollout. Its formats are those that
+// its latest process registered, if any did.
+type AdminRolloutController struct {
+	Label    string       `json:"label"`
+	Alive    bool         `json:"alive"`
+	Boot     FencingToken `json:"boot,omitempty"`
+	Oldest   Format       `json:"oldest,omitempty"`
+	Newest   Format       `json:"newest,omitempty"`
+	Release  string       `json:"release,omitempty"`
+	Blocks   string       `json:"blocks,omitempty"` // why the next format waits for it
+	Excluded string       `json:"excluded,omitempty"`
+}
+
+// AdminRolloutChange asks for exactly one of: a format to be activated, a controller
+// that is down to be excluded, for a reason, or an exclusion to be taken back.
+type AdminRolloutChange struct {
+	Version  Revision `json:"version"`
+	Activate *Format  `json:"activate,omitempty"`
+	Exclude  string   `json:"exclude,omitempty"`
+	Reason   string   `json:"reason,omitempty"`
+	Include  string   `json:"include,omitempty"`
+}
+
+// ParseAdminRolloutChange reads and checks a change. Its error names the field.
+func ParseAdminRolloutChange(body []byte) (AdminRolloutChange, error) {
+	var c AdminRolloutChange
+	if err := decodeStrict(body, &c); err != nil {
+		return c, err
+	}
+	asked := 0
+	for _, is := range []bool{c.Activate != nil, c.Exclude != "", c.Include != ""} {
+		if is {
+			asked++
+		}
+	}
+	switch {
+	case asked != 1:
+		return c, errors.New("activate, exclude, include: want exactly one of them")
+	case c.Reason != "" && c.Exclude == "":
+		return c, errors.New("reason: goes with exclude only")
+	}
+	return c, nil
+}
+
+// decodeStrict reads a JSON object and refuses fields that v does not have.
+func decodeStrict(body []byte, v any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(v)
+	var typeErr *json.UnmarshalTypeError
+	switch {
+	case err == nil && decoder.More():
+		return errors.New("body: want one JSON object")
+	case err == nil:
+		return nil
+	case errors.As(err, &typeErr) && typeErr.Field != "":
+		return fmt.Errorf("%s: wrong type", typeErr.Field)
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return fmt.Errorf("%s: no such field", strings.Trim(name, `"`))
+	}
+	return errors.New("body: want a JSON object")
+}
--- a/wire/ids.go
+++ b/wire/ids.go
@@ -74,3 +74,6 @@
 
 // LeaseID names a lease of the state service.
 type LeaseID uint64
+
+// Format numbers a way of writing records and the lines between controllers.
+type Format int
--- a/wire/services.go
+++ b/wire/services.go
@@ -127,6 +127,8 @@
 // that its sender is alive.
 type PeerLine struct {
 	From string `json:"from"`
+	// Format is the format of the line; lines of the first format leave it out.
+	Format Format `json:"format,omitempty"`
 	// StateFresh says that the sender has heard from the state service lately.
 	StateFresh bool `json:"state_fresh,omitempty"`
 	// Attestation is the sender's word on withdrawn jobs, on some lines.
