Tests: hanging machines and a short cut with many seeds, not one or six

Cause: a shift of the random numbers made TestDirectCallsBounded and TestShortCutKeepsReplicas fail. Machines were asked in the order of their names, so a few that hang were asked over and over while one with replicas waited up to 16 s; and where few machines of a zone were asked early, the first was returned before the cut was seen. The tests now play 12 and 40 seeds.

--- a/internal/standin/crowd_test.go
+++ b/internal/standin/crowd_test.go
@@ -14,11 +14,20 @@
 // TestDirectCallsBounded guards against calls that pile up, with a socket each,
 // when many machines hang at once and each leaves its orders and questions
 // unanswered for seconds. Replicas still come back soon, and all work ends.
+//
+// It also guards against asking in the order of names: the first few that hang were
+// asked over and over, and one with replicas that came later was found silent late.
 func TestDirectCallsBounded(t *testing.T) {
+	for seed := range uint64(12) {
+		directCallsBounded(t, seed)
+	}
+}
+
+func directCallsBounded(t *testing.T, seed uint64) {
 	set := settings()
 	set.Cluster.Teams[0].CPUsMax, set.Cluster.Teams[1].CPUsMax = 400, 400
 	set.Cluster.Quota.Sockets = 160
-	w := New(set, types, 2, 1)
+	w := New(set, types, 2, seed)
 	w.Capacity = 60
 	for i := range 90 {
 		w.AddMachine(types[0], zones[i%3], false, 0)
@@ -50,7 +59,7 @@
 			running++
 		}
 	})
-	require.Equal(t, 8, running, "replicas on machines that answer")
+	require.Equal(t, 8, running, "seed %d: replicas on machines that answer", seed)
 	w.Run(150 * time.Second)
 	for _, n := range w.nodes {
 		require.LessOrEqual(t, n.most, sockets.Share(&set).Direct, fmt.Sprint("rig-", n.index))
--- a/internal/standin/found_test.go
+++ b/internal/standin/found_test.go
@@ -298,9 +298,11 @@
 
 // TestShortCutKeepsReplicas guards replicas in a zone that is cut off for a while:
 // they run on while their workers' leases last, and are lost only if their
-// machines are returned. What really dies elsewhere is still replaced soon.
+// machines are returned. What really dies elsewhere is still replaced soon. Where few
+// machines of the zone have reason to be asked early (seeds 6 and 33 with random numbers
+// as they were once), the first was returned before the cut was seen.
 func TestShortCutKeepsReplicas(t *testing.T) {
-	for seed := range uint64(6) {
+	for seed := range uint64(40) {
 		set := settings()
 		set.Cluster.Teams[1].CPUsMax = 200
 		w := New(set, types, 3, seed)
