--- a/cmd/lilacrill/load_bench_test.go
+++ b/cmd/lilacrill/load_bench_test.go
@@ -34,12 +34,27 @@
 	// arrayEvery is the pause between two arrays, each of arrayTasks tasks.
 	arrayEvery time.Duration
 	arrayTasks int
+	// teamLimit is the most cores that each team may use; far more than there are if 0.
+	teamLimit float64
 	// build is what all controllers start with.
 	build build
 	// profiled has the controllers write profiles.
 	profiled bool
 }
 
+// teams is the teams of the cluster.
+func (s loadSize) teams() []config.Team {
+	limit := s.teamLimit
+	if limit == 0 {
+		limit = 30000
+	}
+	var teams []config.Team
+	for n := range 4 {
+		teams = append(teams, config.Team{Name: fmt.Sprint("team-", n), CPUs: limit / 20, CPUsMax: limit})
+	}
+	return teams
+}
+
 var (
 	smallLoad = loadSize{controllers: 3, workers: 720, services: 100, zones: []string{"a", "b", "c"}, reportS: 3, leaseS: 21, cancelS: 46,
 		quota: config.Quota{CoreShare: 0.054, MemMB: 114, Sockets: 1500}, writeRPS: 40, arrayEvery: 1500 * time.Millisecond, arrayTasks: 60, profiled: true}
@@ -184,9 +199,7 @@
 			Workers: config.Workers{ReportS: l.size.reportS, LeaseS: l.size.leaseS, GangWaitS: 45, GangPeerS: 8, CancelS: l.size.cancelS},
 			State:   config.State{RPS: 200, WriteRPS: l.size.writeRPS, ValueKB: 8, TxnOps: 32},
 			Cloud:   config.Cloud{RPS: 5, ListLagS: 3}, Quota: l.size.quota}}
-	for n := range 4 {
-		set.Cluster.Teams = append(set.Cluster.Teams, config.Team{Name: fmt.Sprint("team-", n), CPUs: 1500, CPUsMax: 30000})
-	}
+	set.Cluster.Teams = l.size.teams()
 	for n, peer := range peers {
 		if n != i {
 			set.Siblings = append(set.Siblings, config.Sibling{Label: fmt.Sprint("node-", n), Zone: l.size.zones[n%len(l.size.zones)], Endpoint: peer})
--- a/cmd/lilacrill/upgrade_test.go
+++ b/cmd/lilacrill/upgrade_test.go
@@ -17,12 +17,13 @@
 	"lilacrill/internal/admin"
 	"lilacrill/internal/config"
 	"lilacrill/internal/record"
+	"lilacrill/internal/standin"
 	"lilacrill/wire"
 )
 
 // upgradeLoad is the cluster that is upgraded in CI.
 var upgradeLoad = loadSize{controllers: 3, workers: 60, services: 6, zones: []string{"a", "b", "c"}, reportS: 1, leaseS: 20, cancelS: 40,
-	quota: config.Quota{CoreShare: 1, MemMB: 200, Sockets: 1000}, writeRPS: 100, arrayEvery: 400 * time.Millisecond, arrayTasks: 40}
+	quota: config.Quota{CoreShare: 1, MemMB: 200, Sockets: 1000}, writeRPS: 100, arrayEvery: 400 * time.Millisecond, arrayTasks: 40, teamLimit: 40}
 
 // upgrade is a cluster whose controllers are upgraded under load.
 type upgrade struct {
@@ -153,11 +154,7 @@
 		t.Error("some users never heard of an end")
 	}
 	u.stop()
-	teams := []config.Team{}
-	for n := range 4 {
-		teams = append(teams, config.Team{Name: fmt.Sprint("team-", n), CPUsMax: 30000})
-	}
-	require.Empty(t, u.history.Check(teams, config.Seconds(u.size.cancelS)))
+	require.Empty(t, u.history.Check(u.size.teams(), config.Seconds(u.size.cancelS)))
 }
 
 // TestRollingUpgrade runs real controllers over loopback under load and upgrades, rolls
@@ -170,16 +167,12 @@
 	go u.keepBusy(stop, 8*time.Second)
 	for range 8 {
 		t.Log(u.step())
-		if len(u.upgraded) < u.size.controllers || !u.allUpgraded() {
+		if !u.allUpgraded() {
 			require.Error(t, u.activate(u.rand.IntN(u.size.controllers)))
 		}
 		require.Zero(t, u.compressed(), "the later format is dormant")
 	}
-	for i := range u.size.controllers {
-		if !u.upgraded[i] {
-			u.replace(i, u.newer)
-		}
-	}
+	u.upgradeRest()
 	u.mustActivate()
 	u.freeze(1, 7*time.Second)
 	require.Eventually(t, func() bool { return u.compressed() > 0 }, patient, 100*time.Millisecond)
@@ -193,7 +186,7 @@
 	time.Sleep(3 * time.Second)
 	close(stop)
 	u.finish(t)
-	t.Logf("%d starts, %d tasks done", u.history.Count(0), u.history.Count(1))
+	t.Logf("%d starts, %d tasks done", u.history.Count(standin.TaskStarted), u.history.Count(standin.TaskCompleted))
 }
 
 func (u *upgrade) allUpgraded() bool {
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -204,3 +204,25 @@
 	spec, done := c.specs[id], len(c.completed[id])
 	return done == spec.Tasks || spec.Shape == wire.ShapeGang && done > 0
 }
+
+// StartTimes is how long the jobs that were accepted from a moment on, and before
+// another, waited from then until their first task ran.
+func (h *History) StartTimes(from, to time.Time) []time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	accepted, started := map[wire.JobID]time.Time{}, map[wire.JobID]bool{}
+	var out []time.Duration
+	for _, e := range h.events {
+		_, known := accepted[e.Job]
+		switch {
+		case e.Kind == UserTold && !known && !started[e.Job] && !e.At.Before(from) && e.At.Before(to):
+			accepted[e.Job] = e.At
+		case e.Kind == TaskStarted && known && !started[e.Job]:
+			out = append(out, e.At.Sub(accepted[e.Job]))
+		}
+		if e.Kind == TaskStarted {
+			started[e.Job] = true
+		}
+	}
+	return out
+}
