--- a/internal/core/admin.go
+++ b/internal/core/admin.go
@@ -134,7 +134,7 @@
 	for i := range c.settings.Cluster.Teams {
 		s := &c.settings.Cluster.Teams[i]
 		t := c.teamOf(s.Name)
-		v := wire.AdminTeam{Name: s.Name, Steward: c.teamOwner(s.Name), CPUsGuaranteed: s.CPUs, CPUsMax: s.CPUsMax,
+		v := wire.AdminTeam{Name: s.Name, Owner: c.teamOwner(s.Name), CPUsGuaranteed: s.CPUs, CPUsMax: s.CPUsMax,
 			GPUsGuaranteed: s.GPUs, GPUsMax: s.GPUsMax, PlacementPages: len(t.pages), PlacementPaused: !c.after(t.placeFrom)}
 		var used placement.Amount
 		for _, p := range t.pages {
@@ -171,7 +171,7 @@
 		v := wire.AdminMachine{ID: m.id, Type: m.kind, Zone: m.zone, Spot: m.spot, Status: m.status,
 			SilentS: c.now.Sub(c.lastSign(m)).Seconds(), Faulty: !c.after(m.badUntil), Reserved: m.reserved,
 			Late: m.unborn() && m.status == wire.MachineBooting && !c.bootExpected(m), Recalled: m.recallAt != 0}
-		v.Doomed = c.leaving[m.id].why
+		v.Leaving = c.leaving[m.id].why
 		for _, e := range m.entries {
 			v.Tasks += e.Tasks.Len()
 		}
--- a/internal/core/cancellation.go
+++ b/internal/core/cancellation.go
@@ -345,20 +345,7 @@
 		c.log.Info("machine returned without a record: it holds withdrawn work and does not answer", "machine", id,
 			"for", c.now.Sub(c.overOn[id]))
 	}
-	c.returning = true
-	c.do(ReturnMachines{call(c, func(r GivenBack) {
-		c.returning = false
-		c.outcome(r.Outcome, countCloudNot, countCloudLost)
-		if r.Outcome != Done {
-			return
-		}
-		for _, id := range names {
-			m := c.machineOf(id)
-			m.gone, m.goneAt, c.dirty = true, c.now, true
-			m.lookAgain()
-			c.count(countUnwritten, 1)
-		}
-	}), names})
+	c.callReturn(names, func(*machine) { c.count(countUnwritten, 1) })
 }
 
 // stopsOf is the orders to stop what is known to be withdrawn or done on a machine,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,11 +6,9 @@
 import (
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"lilacrill/internal/config"
-	"lilacrill/internal/record"
 	"lilacrill/internal/sockets"
 	"lilacrill/wire"
 )
@@ -187,19 +185,6 @@
 	c.tickRollout()
 }
 
-// peerView is what a sibling last said of itself. It is a hint only.
-type peerView struct {
-	heard Time
-	fresh bool
-
-	process  uint64        // the one that last attested
-	number   uint64        // its newest attestation
-	since    Time          // when the first of them came
-	revision wire.Revision // up to which it knows all changes
-	echoed   Time          // when our newest attestation was sent that it has heard
-	attested Time          // up to when all is known that it may have told users
-}
-
 const (
 	// heartbeatEvery is how often siblings tell one another that they are well.
 	heartbeatEvery = time.Second
@@ -214,67 +199,6 @@
 	stateSilence = 2 * time.Second
 )
 
-// sendHeartbeat tells the siblings what was heard since the last time; if nothing was,
-// from time to time only that this controller lives.
-func (c *Core) sendHeartbeat() {
-	if !c.after(c.nextTell) {
-		return
-	}
-	c.nextTell = c.now.Add(tellEvery)
-	line := c.newLine()
-	if c.tellAll {
-		c.tellAll = false
-		for id, m := range c.machines {
-			if m.direct != nil && c.now.Sub(m.heardDirect) < forgetAfter && !m.gone {
-				c.toTell[id] = true
-			}
-			m.told = nil
-		}
-		c.toldCloud = nil
-	}
-	if c.after(c.nextAttestation) {
-		line.Attestation = c.attest()
-	}
-	for _, id := range sortedKeys(c.toTell) {
-		m := c.machines[id]
-		if m == nil || m.direct == nil {
-			continue
-		}
-		r := m.direct
-		if m.told != nil && sameReport(m.told, r) {
-			line.Heard = append(line.Heard, wire.Heard{Machine: id, Session: r.Session, Sequence: r.Sequence, Token: r.Token})
-		} else {
-			line.Reports = append(line.Reports, r)
-		}
-		m.told = r
-		if len(line.Reports) == reportsPerLine {
-			c.do(Tell{line})
-			line = c.newLine()
-		}
-	}
-	clear(c.toTell)
-	if len(line.Reports) > 0 || len(line.Heard) > 0 || line.Attestation != nil || c.after(c.nextHeartbeat) {
-		c.nextHeartbeat = c.now.Add(heartbeatEvery)
-		c.do(Tell{line})
-	}
-}
-
-// newLine is an empty line in the format in force. Lines of the first format do not
-// name it: builds that know no other may read them.
-func (c *Core) newLine() *wire.PeerLine {
-	line := &wire.PeerLine{From: c.settings.Label, StateFresh: c.stateFresh()}
-	if f := c.rollout.Format(); f > record.FormatPlain {
-		line.Format = f
-	}
-	return line
-}
-
-// sameReport reports whether nothing changed between two reports of a machine
-// but their number and the token.
-func sameReport(a, b *wire.Report) bool {
-	return a.Session == b.Session && a.RecallS == nil && b.RecallS == nil && a.Addr == b.Addr && slices.Equal(a.Tasks, b.Tasks)
-}
-
 func (c *Core) stateFresh() bool { return c.now.Sub(c.stateOK) < stateSilence }
 
 // fresherPeer names a sibling that has the state service while this one has
@@ -287,47 +211,3 @@
 	}
 	return ""
 }
-
-func (c *Core) peerSaid(l *wire.PeerLine) {
-	if !c.sibling(l.From) {
-		c.log.Warn("line from an unknown peer dropped", "peer", l.From)
-		return
-	}
-	p := c.peers[l.From]
-	if p == nil {
-		p = &peerView{heard: -Time(peerSilence) - 1, echoed: -Time(echoSilence) - 1}
-		c.peers[l.From] = p
-	}
-	for _, r := range l.Reports {
-		c.hear(r, false)
-	}
-	for i := range l.Heard {
-		c.heardAgain(&l.Heard[i])
-	}
-	if len(l.Cloud) > 0 {
-		c.listed(l.Cloud)
-	}
-	if c.now.Sub(p.heard) > peerSilence {
-		c.tellAll = true // it may be new, or have missed much
-	}
-	p.heard, p.fresh = c.now, l.StateFresh
-	if l.Attestation != nil {
-		c.acceptAttestation(p, l.Attestation)
-	}
-}
-
-// peerSilence is how long a sibling may say nothing before it counts as lost.
-const peerSilence = 3 * heartbeatEvery
-
-// echoSilence is how long ago a sibling may have sent what it last heard of us
-// before it counts as lost: our attestation, and its own with the echo, take a turn each.
-const echoSilence = peerSilence + attestEvery
-
-func (c *Core) sibling(label string) bool {
-	for _, s := range c.settings.Siblings {
-		if s.Label == label {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -37,6 +37,9 @@
 // Input is something that happened.
 type Input interface{ isInput() }
 
+// request is an input whose sender waits for a Reply.
+type request interface{ requestID() RequestID }
+
 // Output is something to do.
 type Output interface{ isOutput() }
 
@@ -303,3 +306,11 @@
 func (Tell) isOutput()           {}
 func (RolloutEvent) isOutput()   {}
 func (Retire) isOutput()         {}
+
+func (in Submitted) requestID() RequestID    { return in.Request }
+func (in Polled) requestID() RequestID       { return in.Request }
+func (in CancelAsked) requestID() RequestID  { return in.Request }
+func (in Reported) requestID() RequestID     { return in.Request }
+func (in ViewAsked) requestID() RequestID    { return in.Request }
+func (in ChangeAsked) requestID() RequestID  { return in.Request }
+func (in RolloutAsked) requestID() RequestID { return in.Request }
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -77,20 +77,6 @@
 	restEvery = 250 * time.Millisecond
 )
 
-// ownsTeam reports whether this controller is a team's owner: the one that looks
-// after whatever its jobs need beyond the first placement. It is only a hint
-// that spares lost writes; safety rests on the conditions of the writes.
-func (c *Core) ownsTeam(team string) bool { return c.teamOwner(team) == c.settings.Label }
-
-func (c *Core) teamOwner(team string) string {
-	if s, ok := c.teamOwners[team]; ok {
-		return s
-	}
-	best := highest(c.labels, team)
-	c.teamOwners[team] = best
-	return best
-}
-
 func (c *Core) teamSettings(name string) *config.Team {
 	for i := range c.settings.Cluster.Teams {
 		if c.settings.Cluster.Teams[i].Name == name {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -21,9 +21,9 @@
 	overdue  bool   // it has waited so long for its first start that it is put off no more
 }
 
-// hope orders what can still be in time, what no longer can, and what nobody stated
+// chance orders what can still be in time, what no longer can, and what nobody stated
 // a time for: a huge array without any once went ahead of all work that was late.
-func (w *waiting) hope() int {
+func (w *waiting) chance() int {
 	switch {
 	case w.late:
 		return 1
@@ -81,7 +81,7 @@
 			return cmp.Or(-cmp.Compare(btoi(a.overdue), btoi(b.overdue)), cmp.Compare(a.job.at, b.job.at), cmp.Compare(a.job.id, b.job.id))
 		}
 		return cmp.Or(-cmp.Compare(btoi(a.promised), btoi(b.promised)), cmp.Compare(ra, rb),
-			cmp.Compare(a.hope(), b.hope()), cmp.Compare(a.due, b.due), cmp.Compare(a.job.at, b.job.at),
+			cmp.Compare(a.chance(), b.chance()), cmp.Compare(a.due, b.due), cmp.Compare(a.job.at, b.job.at),
 			cmp.Compare(a.job.id, b.job.id))
 	}
 	slices.SortFunc(queue, order)
--- a/internal/core/returning.go
+++ b/internal/core/returning.go
@@ -315,6 +315,15 @@
 	if len(names) == 0 {
 		return
 	}
+	c.callReturn(names, func(m *machine) {
+		c.count(countReturned+c.leaving[m.id].why, 1)
+		delete(c.returned, m.id)
+	})
+}
+
+// callReturn has the cloud take machines back; gone is called for each once it
+// confirms that they are gone.
+func (c *Core) callReturn(names []wire.MachineID, gone func(*machine)) {
 	c.returning = true
 	c.do(ReturnMachines{call(c, func(r GivenBack) {
 		c.returning = false
@@ -326,8 +335,7 @@
 			m := c.machineOf(id)
 			m.gone, m.goneAt, c.dirty = true, c.now, true
 			m.lookAgain()
-			c.count(countReturned+c.leaving[id].why, 1)
-			delete(c.returned, id)
+			gone(m)
 		}
 	}), names})
 }
--- a/internal/core/rollout.go
+++ b/internal/core/rollout.go
@@ -62,21 +62,8 @@
 
 // refuseRetired answers what still comes to a process that is about to end.
 func (c *Core) refuseRetired(in Input) {
-	switch in := in.(type) {
-	case Submitted:
-		c.do(c.retiredReply(in.Request))
-	case Polled:
-		c.do(c.retiredReply(in.Request))
-	case CancelAsked:
-		c.do(c.retiredReply(in.Request))
-	case Reported:
-		c.do(c.retiredReply(in.Request))
-	case ViewAsked:
-		c.do(c.retiredReply(in.Request))
-	case ChangeAsked:
-		c.do(c.retiredReply(in.Request))
-	case RolloutAsked:
-		c.do(c.retiredReply(in.Request))
+	if r, waits := in.(request); waits {
+		c.do(c.retiredReply(r.requestID()))
 	}
 }
 
--- /dev/null
+++ b/internal/standin/format_bench_test.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/config"
+	"lilacrill/internal/record"
+	"lilacrill/wire"
+)
+
+// BenchmarkFormats is a minute of three controllers with so many machines, full of
+// services and arrays, in each format: how much is written, how large the pages are,
+// and what it costs.
+func BenchmarkFormats(b *testing.B) {
+	for _, machines := range []int{720, 2260, 4000} {
+		for format := record.Oldest; format <= record.Newest; format++ {
+			b.Run(fmt.Sprintf("machines=%d/format=%d", machines, format), func(b *testing.B) {
+				for b.Loop() {
+					benchmarkFormat(b, machines, format)
+				}
+			})
+		}
+	}
+}
+
+func benchmarkFormat(b *testing.B, machines int, format wire.Format) {
+	set := settings()
+	set.Cluster.Teams = teamsAlike(4, config.Team{CPUs: float64(machines), CPUsMax: 100000})
+	set.Cluster.Workers = config.Workers{ReportS: 5, LeaseS: 45, GangWaitS: 35, GangPeerS: 6, CancelS: 65}
+	set.Cluster.State = config.State{RPS: 300, WriteRPS: 70, ValueKB: 8, TxnOps: 32}
+	set.Cluster.Quota = config.Quota{CoreShare: 1, MemMB: 400, Sockets: 6000}
+	w := benchFleet{settings: set, types: mixedTypes()[:2], pattern: []int{0, 1}, controllers: 3, machines: machines}.world()
+	w.Run(5 * second)
+	if format > record.FormatPlain {
+		reply := w.changeRollout(0, wire.AdminRolloutChange{Activate: &format})
+		w.Run(second)
+		require.Equal(b, 200, reply.Status)
+	}
+	clear(w.Seen)
+	for n := range 60 {
+		spec, run := mixedJob(n, []int{1, 0, 0}[n%3], machines/8, 0)
+		w.At(time.Duration(n)*second, func() { w.Submit(spec, run) })
+	}
+	w.Run(60 * second)
+	pages, entries := 0, 0
+	for _, e := range w.store.List(record.PagePrefix) {
+		if groups := pageOf(e.Value).Groups; len(groups) > 0 {
+			pages++
+			for i := range groups {
+				entries += len(groups[i].Machines)
+			}
+		}
+	}
+	b.ReportMetric(float64(w.Seen["bytes written"])/60, "bytes/s")
+	b.ReportMetric(float64(w.Seen["values written"])/60, "values/s")
+	b.ReportMetric(float64(entries)/float64(max(1, pages)), "entries/page")
+	require.Empty(b, w.Broken)
+}
--- a/internal/standin/world_state.go
+++ b/internal/standin/world_state.go
@@ -33,6 +33,8 @@
 		w.breaks("transaction with %d changes and %d conditions", len(t.Then), len(t.If))
 	}
 	for _, c := range t.Then {
+		w.Seen["values written"]++
+		w.Seen["bytes written"] += len(c.Value)
 		for _, records := range []string{"l/p/", "l/j/", "l/f/", "l/m"} {
 			if strings.HasPrefix(c.Put, records) && !slices.ContainsFunc(t.If, func(i wire.Condition) bool { return i.Key == c.Put }) {
 				w.breaks("%s written without a condition on it", c.Put)
--- a/wire/admin.go
+++ b/wire/admin.go
@@ -57,7 +57,7 @@
 // AdminTeam is a team's usage against its guarantee and its limit.
 type AdminTeam struct {
 	Name            string  `json:"name"`
-	Steward         string  `json:"steward"`
+	Owner           string  `json:"steward"`
 	CPUs            float64 `json:"cpus_used"`
 	CPUsGuaranteed  float64 `json:"cpus"`
 	CPUsMax         float64 `json:"cpus_max"`
@@ -79,7 +79,7 @@
 	Status   MachineStatus `json:"status"`
 	SilentS  float64       `json:"silent_s"`
 	Tasks    int           `json:"tasks"`
-	Doomed   string        `json:"doomed,omitempty"`
+	Leaving  string        `json:"doomed,omitempty"`
 	Faulty   bool          `json:"faulty,omitempty"`
 	Late     bool          `json:"late,omitempty"` // it should be up by now
 	Reserved bool          `json:"reserved,omitempty"`
