--- a/cmd/lilacrill/upgrade_test.go
+++ b/cmd/lilacrill/upgrade_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bufio"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -16,6 +18,7 @@
 
 	"lilacrill/internal/admin"
 	"lilacrill/internal/config"
+	"lilacrill/internal/core"
 	"lilacrill/internal/record"
 	"lilacrill/internal/standin"
 	"lilacrill/wire"
@@ -34,12 +37,55 @@
 }
 
 // olderFeatures is a features file of a controller that reads the first format only.
-func olderFeatures(t testing.TB) string {
-	path := filepath.Join(t.TempDir(), "older.toml")
-	require.NoError(t, os.WriteFile(path, []byte("[rollout]\nnewest_format = 1\n"), 0o600))
+func olderFeatures(t testing.TB) string { return featuresFile(t, "[rollout]\nnewest_format = 1\n") }
+
+func featuresFile(t testing.TB, text string) string {
+	path := filepath.Join(t.TempDir(), "features.toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	return path
 }
 
+// requireOneTrace wants the spans of all controllers on the way to the later format in
+// one trace, from their registration until it was in force.
+func requireOneTrace(t *testing.T, path string, controllers int) {
+	file, err := os.Open(path)
+	require.NoError(t, err)
+	defer file.Close()
+	names := map[string]map[string]bool{} // of spans, by trace and controller
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var span struct {
+			Name        string
+			SpanContext struct{ TraceID string }
+			Resource    []struct {
+				Key   string
+				Value struct{ Value any }
+			}
+		}
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &span), "%s", lines.Text())
+		for _, r := range span.Resource {
+			if r.Key == "service.instance.id" {
+				key := span.SpanContext.TraceID + " " + fmt.Sprint(r.Value.Value)
+				if names[key] == nil {
+					names[key] = map[string]bool{}
+				}
+				names[key][span.Name] = true
+			}
+		}
+	}
+	require.NoError(t, lines.Err())
+	whole := map[string]int{}
+	for key, seen := range names {
+		if seen[string(core.RolloutRegistered)] && seen[string(core.RolloutReady)] && seen[string(core.RolloutInForce)] {
+			whole[strings.Fields(key)[0]]++
+		}
+	}
+	require.Len(t, whole, 1)
+	for _, n := range whole {
+		require.Equal(t, controllers, n)
+	}
+}
+
 func startUpgrade(t testing.TB, size loadSize, older build, seed uint64) *upgrade {
 	size.build = older
 	u := &upgrade{load: startLoad(t, size), older: older, rand: rand.New(rand.NewPCG(seed, 1)), upgraded: map[int]bool{}}
@@ -163,6 +209,8 @@
 // comes after that ends with its own status.
 func TestRollingUpgrade(t *testing.T) {
 	u := startUpgrade(t, upgradeLoad, build{features: olderFeatures(t)}, 1)
+	spans := filepath.Join(t.TempDir(), "spans.jsonl")
+	u.newer = build{features: featuresFile(t, fmt.Sprintf("[tracing]\nfile = %q\n", spans))}
 	stop := make(chan struct{})
 	go u.keepBusy(stop, 8*time.Second)
 	for range 8 {
@@ -186,6 +234,7 @@
 	time.Sleep(3 * time.Second)
 	close(stop)
 	u.finish(t)
+	requireOneTrace(t, spans, u.size.controllers)
 	t.Logf("%d starts, %d tasks done", u.history.Count(standin.TaskStarted), u.history.Count(standin.TaskCompleted))
 }
 
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"time"
 
 	"lilacrill/internal/core"
@@ -64,6 +65,7 @@
 	d := w.latency()
 	if w.rng.Float64() < w.Loss {
 		d = time.Duration(w.rng.IntN(30_000)) * time.Millisecond
+		w.Seen[fmt.Sprint("call held up, rig-", n.index)]++
 	}
 	w.after(d, deliver)
 	if w.rng.Float64() < w.Loss/2 {
--- a/internal/standin/rollout_test.go
+++ b/internal/standin/rollout_test.go
@@ -169,7 +169,7 @@
 // with writes and direct calls under way that are carried out after it, and goes on
 // with what waited in its buffers. It ends by itself, and nothing runs twice.
 func TestRolloutPausedController(t *testing.T) {
-	unanswered := 0
+	unanswered, heldUp := 0, 0
 	for seed := range uint64(8) {
 		w := wideWorld(30+seed, 3, func(w *World, i int) {
 			if i == 2 {
@@ -180,20 +180,22 @@
 		})
 		busy(w)
 		w.Run(18 * second)
-		w.LateWrites = 0.6
-		w.Run(2 * second)
+		w.LateWrites, w.Loss = 0.6, 0.4
+		w.Run(5 * second)
 		w.Freeze(2, 25*second)
-		w.LateWrites = 0
+		w.LateWrites, w.Loss = 0, 0
 		w.Run(9 * second) // its lease runs out
 		w.mustChange(t, 0, wire.AdminRolloutChange{Version: w.rolloutVersion(), Exclude: "rig-2", Reason: "hangs"}, http.StatusOK)
 		w.mustChange(t, 0, w.activation(), http.StatusOK)
 		w.Run(20 * second)
 		require.Len(t, w.Retired, 1, "seed %d", seed)
 		unanswered += w.Seen["unanswered write"]
+		heldUp += w.Seen["call held up, rig-2"]
 		w.startNewer(2)
 		finish(t, w)
 	}
 	require.Greater(t, unanswered, 8, "writes that were carried out late")
+	require.Greater(t, heldUp, 8, "direct calls of the older controller that came late")
 }
 
 // TestRolloutStartInTheMoment: an older process that starts in the very moment of the
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -11,6 +11,7 @@
 
 	"lilacrill/internal/config"
 	"lilacrill/internal/core"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -121,8 +122,9 @@
 	born    core.Time
 	replies map[core.RequestID]func(core.Reply)
 	request core.RequestID
-	calls   int // direct calls to workers under way
-	most    int // of them at once so far
+	calls   int                // direct calls to workers under way
+	most    int                // of them at once so far
+	reads   record.FormatRange // what its process reads
 	frozen  bool
 	held    []core.Input // what came while it stood still
 }
@@ -256,7 +258,7 @@
 		set.Features = f
 	}
 	n.core = core.New(&set, w.log.With("node", set.Label, "gen", n.gen), w.rng.Uint64())
-	n.born = w.now
+	n.born, n.reads = w.now, set.Features.Rollout.Formats()
 	n.replies = map[core.RequestID]func(core.Reply){}
 	n.frozen, n.held, n.calls = false, nil, 0
 	gen := n.gen
@@ -351,11 +353,13 @@
 		})
 	case core.Commit:
 		w.checkLimits(o.Txn)
+		reads := n.reads
 		exec := func() core.Committed {
 			before := w.placements(o.Txn)
 			r := w.store.Multi(o.Txn)
 			if r.Outcome == core.Done {
 				w.checkPlacements(o.Txn, before)
+				w.checkJoined(o.Txn, reads)
 			}
 			return r
 		}
--- a/internal/standin/world_state.go
+++ b/internal/standin/world_state.go
@@ -59,6 +59,16 @@
 	return state.Format
 }
 
+// checkJoined wants nobody listed among the living, by a transaction that was carried
+// out, who does not read the format in force.
+func (w *World) checkJoined(t wire.Transaction, reads record.FormatRange) {
+	for _, c := range t.Then {
+		if strings.HasPrefix(c.Put, record.NodePrefix) && !reads.Reads(w.FormatInForce()) {
+			w.breaks("%s written by a process that does not read format %d", c.Put, w.FormatInForce())
+		}
+	}
+}
+
 // checkLine wants lines in no later format than the one in force.
 func (w *World) checkLine(line *wire.PeerLine) {
 	if format := w.FormatInForce(); line.Format > format {
