--- a/internal/core/proofs.go
+++ b/internal/core/proofs.go
@@ -11,8 +11,8 @@
 // alone proves nothing.
 func (c *Core) takeProofs(r *round) {
 	for _, p := range r.team.inOrder() {
-		if !p.look {
-			continue
+		if !p.look || c.unreadable[p.key] != nil {
+			continue // a write of a page that cannot be read would be lost
 		}
 		p.look = false
 		c.count(countLooked, 1)
--- a/internal/core/stopping.go
+++ b/internal/core/stopping.go
@@ -11,6 +11,9 @@
 
 // halt marks tasks of an entry to be stopped.
 func (c *Core) halt(r *round, p *page, e *Entry, tasks record.TaskSet, how record.Halt) {
+	if c.unreadable[p.key] != nil {
+		return
+	}
 	d := c.draft(r, p)
 	for i := range d.entries {
 		x := &d.entries[i]
--- a/internal/standin/rollout_test.go
+++ b/internal/standin/rollout_test.go
@@ -422,6 +422,9 @@
 		}
 	}
 	require.Len(t, damaged, 2)
+	lost := w.Seen["lost write"]
+	w.Run(15 * second)
+	require.Less(t, w.Seen["lost write"]-lost, 30, "writes that are lost over and over")
 	for i := range w.nodes { // also where nothing is remembered from before
 		w.restart(i, 2*second)
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -360,6 +360,8 @@
 			if r.Outcome == core.Done {
 				w.checkPlacements(o.Txn, before)
 				w.checkJoined(o.Txn, reads)
+			} else if r.Outcome == core.Conflict {
+				w.Seen["lost write"]++
 			}
 			return r
 		}
