Tests: settings of a later release with several controllers; a wait for an exit that ends

With the guard on the format in force taken out, TestRollingUpgrade hung on the process that went on rather than fail.

--- a/cmd/lilacrill/upgrade_test.go
+++ b/cmd/lilacrill/upgrade_test.go
@@ -45,6 +45,21 @@
 	return path
 }
 
+// awaitExit waits for a controller to end by itself and returns its status.
+func (u *upgrade) awaitExit(i int) int {
+	ended := make(chan error, 1)
+	go func() { ended <- u.processes[i].Wait() }()
+	select {
+	case err := <-ended:
+		var exit *exec.ExitError
+		require.True(u.b, errors.As(err, &exit), "%v", err)
+		return exit.ExitCode()
+	case <-time.After(patient):
+		require.Fail(u.b, "it never ended")
+		return 0
+	}
+}
+
 // requireOneTrace wants the spans of all controllers on the way to the later format in
 // one trace, from their registration until it was in force.
 func requireOneTrace(t *testing.T, path string, controllers int) {
@@ -226,10 +241,7 @@
 	require.Eventually(t, func() bool { return u.compressed() > 0 }, patient, 100*time.Millisecond)
 
 	u.replace(2, u.older)
-	err := u.processes[2].Wait()
-	var exit *exec.ExitError
-	require.True(t, errors.As(err, &exit), "%v", err)
-	require.Equal(t, statusUnreadable, exit.ExitCode())
+	require.Equal(t, statusUnreadable, u.awaitExit(2))
 	u.replace(2, u.newer)
 	time.Sleep(3 * time.Second)
 	close(stop)
--- a/internal/standin/rollout_test.go
+++ b/internal/standin/rollout_test.go
@@ -449,3 +449,38 @@
 	}
 	finish(t, w)
 }
+
+// TestSettingsOutliveAnOlderController: settings that a later release stored keep its
+// fields when they are changed through an older controller, and apply on all.
+func TestSettingsOutliveAnOlderController(t *testing.T) {
+	w := wideWorld(12, 3, func(w *World, i int) {
+		if i == 1 {
+			w.startOlder(i)
+		} else {
+			w.startNewer(i)
+		}
+	})
+	w.Run(6 * second)
+	stored := wire.Change{Put: record.SettingsKey, Value: json.RawMessage(`{"idle_s":50,"of_a_later_release":{"x":[1]}}`)}
+	require.Equal(t, core.Done, w.store.Multi(wire.Transaction{Then: []wire.Change{stored}}).Outcome)
+	w.Run(2 * second)
+	_, version, _ := w.store.Get(record.SettingsKey)
+	reply := &core.Reply{}
+	change := wire.AdminSettings{Version: version, Settings: json.RawMessage(`{"spare_least":3}`)}
+	w.toNode(w.nodes[1], func(id core.RequestID) core.Input { return core.ChangeAsked{Request: id, Change: change} }, func(r core.Reply) { *reply = r })
+	w.Run(2 * second)
+	require.Equal(t, http.StatusOK, reply.Status, "%v", reply.Body)
+	value, _, _ := w.store.Get(record.SettingsKey)
+	require.Contains(t, string(value), `"of_a_later_release":{"x":[1]}`)
+	require.Contains(t, string(value), `"idle_s":50`)
+	require.Contains(t, string(value), `"spare_least":3`)
+
+	strange := wire.Change{Put: record.SettingsKey, Value: json.RawMessage(`{"idle_s":"for ever"}`)}
+	require.Equal(t, core.Done, w.store.Multi(wire.Transaction{Then: []wire.Change{strange}}).Outcome)
+	w.Run(2 * second)
+	w.toNode(w.nodes[1], func(id core.RequestID) core.Input { return core.ChangeAsked{Request: id, Change: change} }, func(r core.Reply) { *reply = r })
+	w.Run(2 * second)
+	require.Equal(t, http.StatusConflict, reply.Status)
+	value, _, _ = w.store.Get(record.SettingsKey)
+	require.Equal(t, string(strange.Value), string(value), "not written over")
+}
