Images noted of all machines of a fleet of up to some 6,000

Need: users run 4,000 machines. Each of 24 records notes its part of the machines, up to six images each, and stopped where 8 KiB were full: beyond some 3,000 machines the rest was left out. Now as many images of each as let all fit (TestImagesOfALargeFleetFit at 100, 4,200 and 9,000; of 9,000 some are still left out). Records keep their shape.

--- a/internal/core/images.go
+++ b/internal/core/images.go
@@ -73,29 +73,54 @@
 	c.nextNote = c.now.Add(noteEvery)
 	c.nextShard = (c.nextShard + 1) % imageShards
 	shard := c.nextShard
-	noted, size := map[wire.MachineID][]string{}, 0
+	noted := c.notedOf(shard)
+	if maps.EqualFunc(noted, c.imageShards[shard], slices.Equal[[]string]) {
+		return
+	}
+	c.noting = true
+	c.commit(ClassRest, wire.Transaction{Then: []wire.Change{c.put(record.ImageKey(shard), noted)}}, func(Committed) { c.noting = false })
+}
+
+// notedOf is what is to be noted of a shard's machines: of each the images seen in use
+// last, as many as let all of them fit into one value. With a number that was fixed, a
+// part of the machines of a fleet beyond some 3,000 was left out altogether.
+func (c *Core) notedOf(shard int) map[wire.MachineID][]string {
+	latest := map[wire.MachineID][]string{}
 	for _, m := range c.inOrder() {
 		if m.newest == nil || m.gone || shardOf(m.id) != shard || len(m.images) == 0 {
 			continue
 		}
 		images := sortedKeys(m.images)
 		slices.SortStableFunc(images, func(a, b string) int { return -cmp.Compare(m.images[a], m.images[b]) })
-		images = images[:min(len(images), notedImages)]
-		slices.Sort(images)
-		size += len(m.id) + len(`"":[],`)
+		latest[m.id] = images
+	}
+	for most := notedImages; most > 1; most-- {
+		if noted, whole := fitImages(latest, most, c.pageLimit()); whole {
+			return noted
+		}
+	}
+	noted, _ := fitImages(latest, 1, c.pageLimit())
+	return noted
+}
+
+// fitImages takes up to most images of each machine, as long as the value stays under a
+// limit, and reports whether all machines found room. What is left out is learnt from
+// what they run.
+func fitImages(latest map[wire.MachineID][]string, most, limit int) (noted map[wire.MachineID][]string, whole bool) {
+	noted = map[wire.MachineID][]string{}
+	size := len(`{}`)
+	for _, id := range sortedKeys(latest) {
+		images := slices.Sorted(slices.Values(latest[id][:min(len(latest[id]), most)]))
+		size += len(id) + len(`"":[],`)
 		for _, image := range images {
 			size += len(image) + len(`"",`)
 		}
-		if size > c.pageLimit() {
-			break // the rest is learnt from what they run
+		if size > limit {
+			return noted, false
 		}
-		noted[m.id] = images
-	}
-	if maps.EqualFunc(noted, c.imageShards[shard], slices.Equal[[]string]) {
-		return
+		noted[id] = images
 	}
-	c.noting = true
-	c.commit(ClassRest, wire.Transaction{Then: []wire.Change{c.put(record.ImageKey(shard), noted)}}, func(Committed) { c.noting = false })
+	return noted, true
 }
 
 // shardOf is the record that notes a machine's images.
--- /dev/null
+++ b/internal/core/images_test.go
@@ -0,0 +1,41 @@
+package core
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+// TestImagesOfALargeFleetFit: however many machines there are, some images of each are
+// noted, and no value is too large.
+func TestImagesOfALargeFleetFit(t *testing.T) {
+	for _, machines := range []int{100, 4200, 9000} {
+		set := &config.Settings{Cluster: config.Cluster{Zones: []string{"east"}, State: config.State{ValueKB: 8, TxnOps: 12}}}
+		c := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), 1)
+		for i := range machines {
+			m := c.machineOf(wire.MachineID(fmt.Sprintf("m-%06d", i)))
+			m.newest = &wire.Report{}
+			for k := range 8 {
+				c.now = Time(i*8 + k)
+				c.sawImage(m, fmt.Sprintf("image-%02d", k))
+			}
+		}
+		total := 0
+		for shard := range imageShards {
+			noted := c.notedOf(shard)
+			total += len(noted)
+			require.LessOrEqual(t, len(encode(noted)), c.pageLimit())
+			for id, images := range noted {
+				require.NotEmpty(t, images, id)
+				require.Contains(t, images, "image-07", "the latest")
+			}
+		}
+		require.GreaterOrEqual(t, total, min(machines, 6000))
+	}
+}
