--- a/cmd/lilacrill/main.go
+++ b/cmd/lilacrill/main.go
@@ -62,9 +62,25 @@
 	}
 	root.Flags().StringVar(&path, "config", "", "the settings `FILE` (TOML) of this controller")
 	root.Flags().StringVar(&features, "features", "", "a features `FILE` (TOML): what is enabled beyond the ordinary")
-	root.AddCommand(&cobra.Command{
-		Use:   "check FILE",
-		Short: "Check a settings file and say what is wrong with it",
+	root.AddCommand(checkCommand(), &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "lilacrill", release.Version)
+			return err
+		},
+	})
+	root.AddCommand(adminCommand())
+	return root
+}
+
+// checkCommand says what is wrong with the files that a controller is started with.
+func checkCommand() *cobra.Command {
+	var features string
+	check := &cobra.Command{
+		Use:   "check FILE [--features FILE]",
+		Short: "Check a settings file, and a features file, and say what is wrong with them",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := config.Load(args[0])
@@ -74,21 +90,19 @@
 			for _, w := range s.Warnings() {
 				fmt.Fprintf(cmd.OutOrStdout(), "%s: warning: %s\n", args[0], w)
 			}
+			if features != "" {
+				if _, err := config.LoadFeatures(features); err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: features are good\n", features)
+			}
 			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: settings of controller %s are good: %d controllers, %d teams, %d zones\n",
 				args[0], s.Label, s.Cluster.Size, len(s.Cluster.Teams), len(s.Cluster.Zones))
 			return err
 		},
-	}, &cobra.Command{
-		Use:   "version",
-		Short: "Print the version",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, err := fmt.Fprintln(cmd.OutOrStdout(), "lilacrill", release.Version)
-			return err
-		},
-	})
-	root.AddCommand(adminCommand())
-	return root
+	}
+	check.Flags().StringVar(&features, "features", "", "a features `FILE` (TOML) to check too")
+	return check
 }
 
 func run(ctx context.Context, path, features string) error {
--- a/internal/core/rollout.go
+++ b/internal/core/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
 	"lilacrill/internal/config"
 	"lilacrill/internal/release"
@@ -14,10 +15,14 @@
 type rolloutState struct {
 	rollout *rollout.Tracker
 	// retired is why this process must not serve; nil while it may.
-	retired    error
-	activating bool
+	retired        error
+	activating     bool
+	nextActivation Time // when the next automatic activation is thought of
 }
 
+// activationEvery is how often an automatic activation is thought of.
+const activationEvery = time.Second
+
 func (s *rolloutState) init(settings *config.Settings) {
 	var siblings []string
 	for _, sibling := range settings.Siblings {
@@ -76,9 +81,11 @@
 // may is up to the transaction.
 func (c *Core) tickRollout() {
 	set := &c.settings.Features.Rollout
-	if set.Activation != config.ActivationAutomatic || c.activating || c.buyer != c.boot || !c.whole() || !c.stateFresh() {
+	if set.Activation != config.ActivationAutomatic || c.activating || c.buyer != c.boot || !c.after(c.nextActivation) ||
+		!c.whole() || !c.stateFresh() {
 		return
 	}
+	c.nextActivation = c.now.Add(activationEvery)
 	next, due := c.rollout.Automatic(rollout.Time(c.now), set.Settle())
 	if !due {
 		return
