--- a/cmd/lilacrill/load_profile_test.go
+++ b/cmd/lilacrill/load_profile_test.go
@@ -16,8 +16,15 @@
 // writes its profiles. Set, it makes the test binary a controller.
 const profileVariable = "LILACRILL_LOAD_PROFILES"
 
-// TestMain runs the tests, or in a child of the load benchmark a controller.
+// controllerVariable, if set, makes the test binary a controller without profiles.
+const controllerVariable = "LILACRILL_TEST_CONTROLLER"
+
+// TestMain runs the tests, or in a child of one of them a controller.
 func TestMain(m *testing.M) {
+	if os.Getenv(controllerVariable) != "" {
+		main()
+		return
+	}
 	dir := os.Getenv(profileVariable)
 	if dir == "" {
 		os.Exit(m.Run())
--- /dev/null
+++ b/cmd/lilacrill/upgrade_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/admin"
+	"lilacrill/internal/config"
+	"lilacrill/internal/record"
+	"lilacrill/wire"
+)
+
+// upgradeLoad is the cluster that is upgraded in CI.
+var upgradeLoad = loadSize{controllers: 3, workers: 60, services: 6, zones: []string{"a", "b", "c"}, reportS: 1, leaseS: 20, cancelS: 40,
+	quota: config.Quota{CoreShare: 1, MemMB: 200, Sockets: 1000}, writeRPS: 100, arrayEvery: 400 * time.Millisecond, arrayTasks: 40}
+
+// upgrade is a cluster whose controllers are upgraded under load.
+type upgrade struct {
+	*load
+	older, newer build
+	rand         *rand.Rand
+	upgraded     map[int]bool
+}
+
+// olderFeatures is a features file of a controller that reads the first format only.
+func olderFeatures(t testing.TB) string {
+	path := filepath.Join(t.TempDir(), "older.toml")
+	require.NoError(t, os.WriteFile(path, []byte("[rollout]\nnewest_format = 1\n"), 0o600))
+	return path
+}
+
+func startUpgrade(t testing.TB, size loadSize, older build, seed uint64) *upgrade {
+	size.build = older
+	u := &upgrade{load: startLoad(t, size), older: older, rand: rand.New(rand.NewPCG(seed, 1)), upgraded: map[int]bool{}}
+	u.submitServices()
+	return u
+}
+
+// keepBusy submits arrays and gangs, and calls some off, until stop is closed.
+func (u *upgrade) keepBusy(stop <-chan struct{}, longest time.Duration) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(u.size.arrayEvery):
+		}
+		spec := u.arrayJob(1 + n%u.size.arrayTasks)
+		if n%4 == 3 {
+			spec.Shape, spec.Rank, spec.Tasks = wire.ShapeGang, wire.RankHigh, 1+n%3
+		}
+		spec.Zone = []string{"", "", u.size.zones[0]}[n%3]
+		go u.submit(spec, time.Second+time.Duration(n%7)*longest/7)
+		if n%5 == 2 {
+			time.AfterFunc(time.Duration(n%9)*500*time.Millisecond, func() { u.cancel(spec.ID) })
+		}
+	}
+}
+
+// replace ends a controller and starts a build in its place.
+func (u *upgrade) replace(i int, b build) {
+	u.kill(i)
+	time.Sleep(time.Duration(u.rand.IntN(1000)) * time.Millisecond)
+	u.builds[i] = b
+	u.upgraded[i] = b == u.newer
+	u.start(i)
+}
+
+// freeze has a controller stand still for a while.
+func (u *upgrade) freeze(i int, d time.Duration) {
+	p := u.processes[i].Process
+	require.NoError(u.b, p.Signal(syscall.SIGSTOP))
+	time.Sleep(d)
+	require.NoError(u.b, p.Signal(syscall.SIGCONT))
+}
+
+// step does one thing that may happen in an upgrade.
+func (u *upgrade) step() string {
+	i := u.rand.IntN(u.size.controllers)
+	switch u.rand.IntN(5) {
+	case 0, 1:
+		u.replace(i, u.newer)
+		return fmt.Sprint("upgraded ", i)
+	case 2:
+		u.replace(i, u.older)
+		return fmt.Sprint("rolled back ", i)
+	case 3:
+		u.replace(i, u.builds[i])
+		return fmt.Sprint("killed ", i)
+	default:
+		u.freeze(i, time.Second+time.Duration(u.rand.IntN(6))*time.Second)
+		return fmt.Sprint("froze ", i)
+	}
+}
+
+// activate asks a controller for the compressed format.
+func (u *upgrade) activate(i int) error {
+	client := admin.NewClient(u.addrs[i], loadToken)
+	version, err := rolloutVersion(client)
+	if err != nil {
+		return err
+	}
+	format := record.FormatCompressed
+	_, err = client.ChangeRollout(wire.AdminRolloutChange{Version: version, Activate: &format})
+	return err
+}
+
+// mustActivate asks for the compressed format until all are ready for it.
+func (u *upgrade) mustActivate() {
+	var err error
+	for deadline := time.Now().Add(patient); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		if err = u.activate(u.rand.IntN(u.size.controllers)); err == nil {
+			return
+		}
+	}
+	require.NoError(u.b, err)
+}
+
+// compressed counts the compressed records in the state service.
+func (u *upgrade) compressed() int {
+	n := 0
+	for _, e := range u.state.Entries(record.RootKey) {
+		if strings.HasPrefix(string(e.Value), `"`) {
+			n++
+		}
+	}
+	return n
+}
+
+// finish lets all jobs end, calls the services off, and checks the history.
+func (u *upgrade) finish(t testing.TB) {
+	for n := range u.size.services {
+		go u.cancel(wire.JobID(fmt.Sprintf("wk-%06d", n+1)))
+	}
+	over := make(chan struct{})
+	go func() {
+		time.Sleep(time.Second)
+		u.users.Wait()
+		close(over)
+	}()
+	select {
+	case <-over:
+	case <-time.After(2 * patient):
+		t.Error("some users never heard of an end")
+	}
+	u.stop()
+	teams := []config.Team{}
+	for n := range 4 {
+		teams = append(teams, config.Team{Name: fmt.Sprint("team-", n), CPUsMax: 30000})
+	}
+	require.Empty(t, u.history.Check(teams, config.Seconds(u.size.cancelS)))
+}
+
+// TestRollingUpgrade runs real controllers over loopback under load and upgrades, rolls
+// back, kills and freezes them in an order drawn from a seed, and then brings the later
+// format into force. No job is lost, doubled or misplaced, and an older process that
+// comes after that ends with its own status.
+func TestRollingUpgrade(t *testing.T) {
+	u := startUpgrade(t, upgradeLoad, build{features: olderFeatures(t)}, 1)
+	stop := make(chan struct{})
+	go u.keepBusy(stop, 8*time.Second)
+	for range 8 {
+		t.Log(u.step())
+		if len(u.upgraded) < u.size.controllers || !u.allUpgraded() {
+			require.Error(t, u.activate(u.rand.IntN(u.size.controllers)))
+		}
+		require.Zero(t, u.compressed(), "the later format is dormant")
+	}
+	for i := range u.size.controllers {
+		if !u.upgraded[i] {
+			u.replace(i, u.newer)
+		}
+	}
+	u.mustActivate()
+	u.freeze(1, 7*time.Second)
+	require.Eventually(t, func() bool { return u.compressed() > 0 }, patient, 100*time.Millisecond)
+
+	u.replace(2, u.older)
+	err := u.processes[2].Wait()
+	var exit *exec.ExitError
+	require.True(t, errors.As(err, &exit), "%v", err)
+	require.Equal(t, statusUnreadable, exit.ExitCode())
+	u.replace(2, u.newer)
+	time.Sleep(3 * time.Second)
+	close(stop)
+	u.finish(t)
+	t.Logf("%d starts, %d tasks done", u.history.Count(0), u.history.Count(1))
+}
+
+func (u *upgrade) allUpgraded() bool {
+	for i := range u.size.controllers {
+		if !u.upgraded[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/history.go
@@ -0,0 +1,206 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+// History is what happened on the workers and what users were told, in order. It checks
+// what must hold of it whatever the controllers went through.
+type History struct {
+	mu     sync.Mutex
+	events []HistoryEvent
+	specs  map[wire.JobID]wire.JobSpec
+}
+
+// HistoryEvent is one entry of a History.
+type HistoryEvent struct {
+	At   time.Time
+	Kind HistoryKind
+	Job  wire.JobID
+
+	// Of tasks:
+	Machine    wire.MachineID
+	Type, Zone string
+	Task       wire.TaskID
+	Attempt    wire.Attempt
+
+	// Of answers to users:
+	Status wire.Status
+}
+
+// HistoryKind says what an event is.
+type HistoryKind int
+
+// The kinds of events.
+const (
+	// TaskStarted: a task runs on a machine from now on.
+	TaskStarted HistoryKind = iota
+	// TaskCompleted: it is done.
+	TaskCompleted
+	// TaskStopped: it is gone without being done.
+	TaskStopped
+	// UserTold: a user got an answer about a job; the first says that it is accepted.
+	UserTold
+	// UserCancelled: a user asked for a cancellation.
+	UserCancelled
+)
+
+// NewHistory makes an empty history.
+func NewHistory() *History { return &History{specs: map[wire.JobID]wire.JobSpec{}} }
+
+// Submitted notes a job that a user is about to submit.
+func (h *History) Submitted(spec wire.JobSpec) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.specs[spec.ID] = spec
+}
+
+// Add notes an event that takes place now.
+func (h *History) Add(e HistoryEvent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e.At = time.Now()
+	h.events = append(h.events, e)
+}
+
+// Count is how many events of a kind there are.
+func (h *History) Count(kind HistoryKind) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, e := range h.events {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// Check lists what broke a rule: a task on two machines, a task where its job does not
+// allow it, a team above its limit, a task of a job for longer than cancel after its
+// user was told that it is withdrawn, an answer that takes back a final one, a job called
+// done before its tasks were, a withdrawal that nobody asked for, and an accepted job
+// that was never over.
+func (h *History) Check(teams []config.Team, cancel time.Duration) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := historyCheck{specs: h.specs, teams: teams, cancel: cancel, on: map[wire.TaskID]HistoryEvent{}, completed: map[wire.JobID]map[int]bool{},
+		told: map[wire.JobID]HistoryEvent{}, cancelled: map[wire.JobID]bool{}, cores: map[string]float64{}}
+	for _, e := range h.events {
+		c.take(e)
+	}
+	for id, last := range c.told {
+		if !last.Status.Final() {
+			c.breaks("%s was accepted and is %s in the end", id, last.Status)
+		}
+	}
+	for task, start := range c.on {
+		c.checkWithdrawn(task, start.Machine, c.told[task.Job], h.events[len(h.events)-1].At)
+	}
+	slices.Sort(c.broken)
+	return c.broken
+}
+
+// historyCheck goes through a history.
+type historyCheck struct {
+	specs     map[wire.JobID]wire.JobSpec
+	teams     []config.Team
+	cancel    time.Duration
+	on        map[wire.TaskID]HistoryEvent // the tasks on machines, with their starts
+	completed map[wire.JobID]map[int]bool
+	told      map[wire.JobID]HistoryEvent // the last answer
+	cancelled map[wire.JobID]bool
+	cores     map[string]float64 // used by team
+	broken    []string
+}
+
+func (c *historyCheck) breaks(format string, args ...any) {
+	c.broken = append(c.broken, fmt.Sprintf(format, args...))
+}
+
+func (c *historyCheck) take(e HistoryEvent) {
+	switch e.Kind {
+	case TaskStarted:
+		c.started(e)
+	case TaskCompleted, TaskStopped:
+		c.ended(e)
+	case UserCancelled:
+		c.cancelled[e.Job] = true
+	case UserTold:
+		c.answered(e)
+	}
+}
+
+func (c *historyCheck) started(e HistoryEvent) {
+	spec, known := c.specs[e.Task.Job]
+	if !known {
+		c.breaks("%v started on %s, and nobody submitted it", e.Task, e.Machine)
+		return
+	}
+	if other, twice := c.on[e.Task]; twice {
+		c.breaks("%v started on %s while on %s", e.Task, e.Machine, other.Machine)
+	}
+	if spec.Zone != "" && spec.Zone != e.Zone || len(spec.Types) > 0 && !slices.Contains(spec.Types, e.Type) {
+		c.breaks("%v started on %s, a %s in %s", e.Task, e.Machine, e.Type, e.Zone)
+	}
+	c.checkWithdrawn(e.Task, e.Machine, c.told[e.Task.Job], e.At)
+	c.on[e.Task] = e
+	c.cores[spec.Team] += spec.Cores
+	for i := range c.teams {
+		if limit, _ := c.teams[i].Limits(); c.teams[i].Name == spec.Team && c.cores[spec.Team] > limit+1e-6 {
+			c.breaks("%s uses %v cores of %v as %v starts", spec.Team, c.cores[spec.Team], limit, e.Task)
+		}
+	}
+}
+
+func (c *historyCheck) ended(e HistoryEvent) {
+	start, on := c.on[e.Task]
+	if !on || start.Machine != e.Machine {
+		return
+	}
+	delete(c.on, e.Task)
+	c.cores[c.specs[e.Task.Job].Team] -= c.specs[e.Task.Job].Cores
+	c.checkWithdrawn(e.Task, e.Machine, c.told[e.Task.Job], e.At)
+	if e.Kind == TaskCompleted {
+		if c.completed[e.Task.Job] == nil {
+			c.completed[e.Task.Job] = map[int]bool{}
+		}
+		c.completed[e.Task.Job][e.Task.Index] = true
+	}
+}
+
+// checkWithdrawn holds a task that is on a machine at some moment against what its user
+// was told last.
+func (c *historyCheck) checkWithdrawn(task wire.TaskID, machine wire.MachineID, told HistoryEvent, at time.Time) {
+	if told.Status == wire.StatusWithdrawn && at.Sub(told.At) > c.cancel {
+		c.breaks("%v is on %s %v after its user was told that it is withdrawn", task, machine, at.Sub(told.At))
+	}
+}
+
+func (c *historyCheck) answered(e HistoryEvent) {
+	before := c.told[e.Job]
+	switch {
+	case before.Status.Final():
+		if e.Status != before.Status {
+			c.breaks("%s was called %s, and then %s", e.Job, before.Status, e.Status)
+		}
+		return
+	case e.Status == wire.StatusWithdrawn && !c.cancelled[e.Job]:
+		c.breaks("%s was called withdrawn, and nobody asked for that", e.Job)
+	case e.Status == wire.StatusDone && !c.complete(e.Job):
+		c.breaks("%s was called done with %d tasks of %d done", e.Job, len(c.completed[e.Job]), c.specs[e.Job].Tasks)
+	}
+	c.told[e.Job] = e
+}
+
+// complete reports whether all tasks of a job are done; those of a gang are together.
+func (c *historyCheck) complete(id wire.JobID) bool {
+	spec, done := c.specs[id], len(c.completed[id])
+	return done == spec.Tasks || spec.Shape == wire.ShapeGang && done > 0
+}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -36,6 +36,13 @@
 	return s
 }
 
+// Entries is what stands under a prefix.
+func (s *StateServer) Entries(prefix string) []wire.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.List(prefix)
+}
+
 func (s *StateServer) now() core.Time { return core.Time(time.Since(s.start)) }
 
 // ServeHTTP implements http.Handler.
--- /dev/null
+++ b/internal/standin/large_test.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lilacrill/internal/config"
+	"lilacrill/wire"
+)
+
+// largeFleet is more machines than any installation runs.
+const largeFleet = 4200
+
+// TestLargeFleet guards against bounds that a fleet of 4,200 machines meets: it is
+// rented, heard and placed on, survives all controllers restarting, and is returned.
+func TestLargeFleet(t *testing.T) {
+	set := settings()
+	set.Cluster.Teams = teamsAlike(4, config.Team{CPUs: 4000, CPUsMax: 9000})
+	set.Cluster.Workers = config.Workers{ReportS: 10, LeaseS: 45, GangWaitS: 35, GangPeerS: 6, CancelS: 65}
+	set.Cluster.State = config.State{RPS: 300, WriteRPS: 100, ValueKB: 8, TxnOps: 32}
+	set.Cluster.Quota = config.Quota{CoreShare: 1, MemMB: 400, Sockets: 6000}
+	set.Cluster.Objectives = []config.Objective{{Kind: "finished", Class: "batch", WithinS: 600, Share: 0.9}} // no time to wait for others' ends
+	kinds := []wire.MachineType{{Name: "c4", Cores: 4, MemGB: 32, Rate: 0.2, MarketPrice: 0.1, StartupS: 15, PullGBPerS: 0.5, Zones: zones}}
+	w := New(set, kinds, 3, 1)
+	w.Capacity = largeFleet
+	for i := range w.nodes {
+		w.Start(i)
+	}
+	for n := range 4 {
+		spec, _ := job(n, 0)
+		spec.Team, spec.Tasks, spec.Cores, spec.MemGB, spec.RuntimeS, spec.Spot = teamName(n), largeFleet/4, 4, 16, 500, false
+		w.At(2*second, func() { w.Submit(spec, 500*second) })
+	}
+	up := func() int {
+		n := 0
+		for _, m := range w.machines {
+			if m.up && !m.dead {
+				n++
+			}
+		}
+		return n
+	}
+	running := func() int {
+		n := 0
+		w.onMachines(func(*machine, *task) { n++ })
+		return n
+	}
+	until := func(what string, most time.Duration, ok func() bool) {
+		from := w.Now()
+		for !ok() {
+			require.Less(t, w.Now()-from, most, "%s: %d up, %d running", what, up(), running())
+			w.Run(5 * second)
+		}
+		t.Logf("%s after %v", what, w.Now()-from)
+	}
+	until("all tasks run, one to a machine", 6*time.Minute, func() bool { return running() == largeFleet })
+	before := len(w.machines)
+	for i := range w.nodes {
+		w.restart(i, 3*second)
+	}
+	w.Run(30 * second)
+	require.Equal(t, largeFleet, running(), "all controllers restarted")
+	require.Less(t, len(w.machines)-before, largeFleet/50, "well machines were given up and rented anew")
+	until("all jobs are done", 12*time.Minute, func() bool { return len(w.Unfinished()) == 0 })
+	until("nearly all are returned", 5*time.Minute, func() bool { return up() < largeFleet/20 })
+	require.Empty(t, w.Broken)
+}
--- a/internal/standin/loopback.go
+++ b/internal/standin/loopback.go
@@ -30,6 +30,8 @@
 	ReportEvery time.Duration
 	Zones       []string
 	Types       []wire.MachineType
+	// History, if set, notes what the workers' tasks do.
+	History *History
 }
 
 // loopbackFetch is how long a worker takes to fetch an image.
@@ -214,6 +216,9 @@
 			w.tasks[key] = &wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskPulling}
 			time.AfterFunc(loopbackFetch, func() { w.start(key) })
 		case o.Verb == wire.VerbStop && t != nil && t.State != wire.TaskExited:
+			if t.State == wire.TaskRunning {
+				w.note(TaskStopped, key)
+			}
 			t.State, t.Cause = wire.TaskExited, wire.CauseHalted
 		case o.Verb == wire.VerbClear && t != nil && t.State == wire.TaskExited:
 			delete(w.tasks, key)
@@ -228,6 +233,14 @@
 	}
 }
 
+// note adds what a task does to the history. It is called with the lock held, so that
+// the order of a machine's events is theirs.
+func (w *loopbackWorker) note(kind HistoryKind, key taskKey) {
+	if h := w.fleet.settings.History; h != nil {
+		h.Add(HistoryEvent{Kind: kind, Job: key.id.Job, Machine: w.id, Type: w.kind, Zone: w.zone, Task: key.id, Attempt: key.attempt})
+	}
+}
+
 // move takes a task from one state to another and has that reported soon.
 func (w *loopbackWorker) move(key taskKey, from, to wire.TaskState, cause wire.Cause) {
 	w.mu.Lock()
@@ -235,6 +248,11 @@
 	moved := t != nil && t.State == from
 	if moved {
 		t.State, t.Cause = to, cause
+		if to == wire.TaskRunning {
+			w.note(TaskStarted, key)
+		} else {
+			w.note(TaskCompleted, key)
+		}
 	}
 	w.mu.Unlock()
 	if !moved {
