Reproduce: users stay unanswered after all workers gathered at one controller

No logs were kept.

Reproduced with real processes on loopback. When controllers are down or cut off, their workers go to the next one, stay there for as long as it answers, and nothing moves them back. Above 85 % of its inbound connections a controller refuses every user, closes the connection, and still answers /up with 200. The load balancer prefers the node with the fewest open user connections, which is that one, so whoever reconnects gets there again.

Stand-ins: a load balancer by the protocol (probes, removal with a doubling pause, ramp, fewest open user connections, connections not moved), users that go through it, and workers that keep leases and follow redirects.

--- a/cmd/lilacrill/load_bench_test.go
+++ b/cmd/lilacrill/load_bench_test.go
@@ -133,6 +133,7 @@
 	phases              []int               // number of the current phase, by controller
 	memoryStats         map[int]memoryStats // by process id, at the end of the last phase
 	workers             *simulation.LoopbackWorkers
+	balancer            *simulation.LoadBalancer
 	state               *simulation.StoreServer
 	history             *simulation.History
 	builds              []build // of each controller
@@ -168,8 +169,8 @@
 		l.addrs, peers = append(l.addrs, freeAddr(b)), append(peers, freeAddr(b))
 	}
 	var err error
-	l.workers, err = simulation.StartLoopbackWorkers(l.ctx, simulation.LoopbackSettings{Controllers: l.addrs,
-		HeartbeatInterval: config.Seconds(size.reportS), Zones: size.zones, Types: types, History: l.history}, size.workers)
+	l.workers, err = simulation.StartLoopbackWorkers(l.ctx, simulation.LoopbackSettings{Controllers: l.addrs, Labels: l.labels(),
+		HeartbeatInterval: config.Seconds(size.reportS), Lease: config.Seconds(size.leaseS), Zones: size.zones, Types: types, History: l.history}, size.workers)
 	require.NoError(b, err)
 	for i := range size.controllers {
 		l.writeSettings(i, peers, strings.TrimPrefix(state.URL, "http://"), strings.TrimPrefix(cloud.URL, "http://"))
@@ -192,9 +193,19 @@
 		l.start(i)
 	}
 	l.keepIdleMachines()
+	l.balancer = simulation.StartLoadBalancer(l.ctx, l.addrs)
 	return l
 }
 
+// labels returns the labels of the controllers.
+func (l *loadCluster) labels() []string {
+	var labels []string
+	for i := range l.size.controllers {
+		labels = append(labels, fmt.Sprint("node-", i))
+	}
+	return labels
+}
+
 func (l *loadCluster) writeSettings(i int, peers []string, state, cloud string) {
 	settings := config.Settings{Label: fmt.Sprint("node-", i), Zone: l.size.zones[i%len(l.size.zones)], PublicAddr: l.addrs[i], PeerListen: peers[i],
 		Services: config.Services{Cloud: cloud, State: state},
--- a/internal/simulation/history.go
+++ b/internal/simulation/history.go
@@ -60,6 +60,11 @@
 	TaskPlaced
 	// MachineTerminated is the termination of a machine together with its tasks.
 	MachineTerminated
+	// QuestionUnanswered is a request about an accepted job that got no status: no response in
+	// time, or a response other than 200 and 404. Job and RequestedAt are set.
+	QuestionUnanswered
+	// JobNotFound is a response that an accepted job does not exist.
+	JobNotFound
 )
 
 // NewHistory returns an empty history.
--- a/internal/simulation/history_check.go
+++ b/internal/simulation/history_check.go
@@ -15,7 +15,7 @@
 //   - No task runs for longer than cancelTimeout after its job was reported cancelled.
 //   - A terminal status is final. A job is reported done only if all its tasks have
 //     completed, and cancelled only if a user has requested it.
-//   - Every accepted job ends.
+//   - Every accepted job ends, and is never unknown to a controller.
 //   - No two processes place tasks on a machine under the same epoch of its shard, and none
 //     does so under an earlier epoch after a later one.
 func (h *History) Check(teams []config.Team, cancelTimeout time.Duration) []string {
@@ -86,6 +86,9 @@
 		c.checkStatus(event)
 	case TaskPlaced:
 		c.checkPlacement(event)
+	case JobNotFound:
+		c.reportViolation("%s was accepted and then not found", event.Job)
+	case QuestionUnanswered: // see CheckAnswered
 	case MachineTerminated: // the ends of its tasks are separate events
 	}
 }
