Log and count who may answer whom and why; assert that available controllers answer polls

Which of connections, reloads or an overloaded event loop kept polls from being answered could not be told from the log.

Change, no behaviour: one typed reason (Unavailability) says why a controller cannot decide users' requests; submissions, polls, cancellations and operators' changes use it. Its changes and those of the health check are logged with incarnation, token, leadership, revision and the age of the store's last response. Loads of all keys (keys, revisions, duration, failures), refused polls by reason with the open connections and queued requests, and steps of the event loop above 250 ms are logged. Heartbeats, launches and stops are counted by a closed set of reasons. The process passes its load with each tick; the controller only reports it.

Invariant at run time: while a controller can decide users' requests it does not refuse every poll for 75 s, the bound that users state. A violation is an ERROR line and the counter invariant_violations.

--- a/cmd/lilacrill/process.go
+++ b/cmd/lilacrill/process.go
@@ -54,6 +54,7 @@
 	cloud   *cloud.Client
 	workers *worker.Client
 	peers   *peer.Mesh
+	server  *server.Server
 	tracer  *tracing.Tracer
 
 	// shutdown fires when the event loop must end because of shutdownCause. It is nil until the
@@ -80,6 +81,8 @@
 const (
 	// maxStepGap is the time without a step after which the process no longer counts as healthy.
 	maxStepGap = time.Second
+	// longStep is the duration above which a single step is logged.
+	longStep = 250 * time.Millisecond
 	// shutdownGrace is the time during which a process that shuts down still refuses requests
 	// before it exits.
 	shutdownGrace = 200 * time.Millisecond
@@ -96,7 +99,7 @@
 // newProcess returns a process that has not been started. A nil tracer records nothing.
 func newProcess(settings *config.Settings, log *slog.Logger, tracer *tracing.Tracer) *process {
 	limitRuntime(settings.Cluster.Quota)
-	return &process{
+	p := &process{
 		settings:     settings,
 		log:          log,
 		controller:   controller.New(settings, log, rand.Uint64()),
@@ -112,6 +115,8 @@
 		peers:        peer.New(settings, log),
 		tracer:       tracer,
 	}
+	p.server = server.New(settings, p, os.Getenv(admin.TokenVariable), log)
+	return p
 }
 
 // limitRuntime sets the limits of the Go runtime according to the quota of the process.
@@ -132,7 +137,7 @@
 		<-ctx.Done()
 		return errors.Join(public.Close(), peers.Close())
 	})
-	group.Go(func() error { return server.New(p.settings, p, os.Getenv(admin.TokenVariable), p.log).Serve(public) })
+	group.Go(func() error { return p.server.Serve(public) })
 	group.Go(func() error { return p.peers.Serve(peers, p.enqueuePeerMessage) })
 	group.Go(func() error { p.peers.Send(ctx); return nil })
 	group.Go(func() error { p.state.Serve(ctx); return nil })
@@ -196,7 +201,7 @@
 		case <-p.shutdown:
 			return p.shutdownCause
 		case <-tick.C:
-			p.step(controller.Tick{})
+			p.step(controller.Tick{Load: p.load()})
 		case input := <-p.completions:
 			p.step(input)
 		case input := <-p.peerMessages:
@@ -208,6 +213,13 @@
 	}
 }
 
+// load returns the load of this process.
+func (p *process) load() controller.ProcessLoad {
+	load := p.server.Load()
+	load.QueuedRequests = len(p.requests)
+	return load
+}
+
 // step passes one input to the controller and executes its outputs in order.
 func (p *process) step(input controller.Input) {
 	now := time.Now()
@@ -215,6 +227,9 @@
 	for _, output := range p.controller.Step(controller.Time(sinceStart), now.UnixMilli(), input) {
 		p.execute(output)
 	}
+	if took := time.Since(now); took > longStep {
+		p.log.Info("step of the event loop took long", "input", fmt.Sprintf("%T", input), "took", took)
+	}
 	p.lastStep.Store(int64(sinceStart))
 	p.healthy.Store(p.controller.Healthy())
 }
--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -34,6 +34,31 @@
 
 func gracePeriod(seconds float64) *float64 { return &seconds }
 
+// stopReason is the reason for which a task is stopped.
+type stopReason string
+
+// The reasons of stop commands. They are parts of the names of counters.
+const (
+	stopJobEnded stopReason = "job_ended"
+	stopEvicted  stopReason = "evicted"
+	stopOrphan   stopReason = "orphan"
+)
+
+// launchRefusal is the reason for which the tasks of an allocation may not be launched now. It is
+// empty if they may.
+type launchRefusal string
+
+// The reasons of launchRefusal. They are parts of the names of counters.
+const (
+	launchAdmitted              launchRefusal = ""
+	launchOfEndedJob            launchRefusal = "job_ended"
+	launchEvicted               launchRefusal = "evicted"
+	launchOfOtherProcess        launchRefusal = "other_launcher"
+	launchNotFenced             launchRefusal = "fence_not_seen"
+	launchCancellationsNotKnown launchRefusal = "cancellations_not_known"
+	launchOfGangDeferred        launchRefusal = "gang_deferred"
+)
+
 func stopCommand(attempt attemptKey, gracePeriodS float64) wire.Command {
 	return wire.Command{Verb: wire.VerbStop, Task: attempt.task, Attempt: attempt.attempt, GracePeriodS: gracePeriod(gracePeriodS)}
 }
@@ -70,12 +95,18 @@
 		if !c.admitLaunch(machine, allocation, job) {
 			return nil
 		}
+		c.metrics.count(countLaunches, 1)
 		command = wire.Command{Verb: wire.VerbLaunch, Task: attempt.task, Attempt: attempt.attempt}
 	case task.State == wire.TaskExited:
 		return nil
-	case job == nil || allocation.Eviction == record.EvictionImmediate:
+	case job == nil:
+		c.metrics.count(countStops+string(stopJobEnded), 1)
+		command = stopCommand(attempt, 0)
+	case allocation.Eviction == record.EvictionImmediate:
+		c.metrics.count(countStops+string(stopEvicted), 1)
 		command = stopCommand(attempt, 0)
 	case allocation.Eviction == record.EvictionGraceful && task.State != wire.TaskCheckpointing:
+		c.metrics.count(countStops+string(stopEvicted), 1)
 		command = stopCommand(attempt, job.spec.CheckpointSaveS+checkpointMarginS)
 	default:
 		return nil
@@ -85,23 +116,40 @@
 
 // admitLaunch reports whether this process may launch an allocation's tasks now. If it may
 // launch them only later, admitLaunch sets launchDeferred.
+func (c *Controller) admitLaunch(machine *machine, allocation *Allocation, job *job) bool {
+	refusal := c.launchRefusal(machine, allocation, job)
+	switch refusal {
+	case launchAdmitted:
+		return true
+	case launchCancellationsNotKnown, launchOfGangDeferred:
+		machine.reconciliation.launchDeferred = true
+	}
+	c.metrics.count(countLaunchesRefused+string(refusal), 1)
+	return false
+}
+
+// launchRefusal returns why this process may not launch an allocation's tasks now.
 //
 // Only the recorded launcher launches tasks, and after a failover only once the worker has
 // seen the token that fences off the previous launcher. While this controller's knowledge of
 // cancellations is not recent, it may not know that the job was cancelled, and a task could
 // start after the cancellation was confirmed to the user.
-func (c *Controller) admitLaunch(machine *machine, allocation *Allocation, job *job) bool {
-	if job == nil || allocation.Eviction != record.EvictionNone {
-		return false
-	}
-	if allocation.Launcher != c.membership.incarnation || machine.latestHeartbeat.Token < allocation.Fence {
-		return false
-	}
-	if !c.canLaunch() || c.shouldDeferGangLaunch(machine, allocation, job) {
-		machine.reconciliation.launchDeferred = true
-		return false
+func (c *Controller) launchRefusal(machine *machine, allocation *Allocation, job *job) launchRefusal {
+	switch {
+	case job == nil:
+		return launchOfEndedJob
+	case allocation.Eviction != record.EvictionNone:
+		return launchEvicted
+	case allocation.Launcher != c.membership.incarnation:
+		return launchOfOtherProcess
+	case machine.latestHeartbeat.Token < allocation.Fence:
+		return launchNotFenced
+	case !c.canLaunch():
+		return launchCancellationsNotKnown
+	case c.shouldDeferGangLaunch(machine, allocation, job):
+		return launchOfGangDeferred
 	}
-	return true
+	return launchAdmitted
 }
 
 // cleanupCommands returns the commands for tasks without an allocation: stop commands for
@@ -121,6 +169,7 @@
 		full := len(commands) >= maxCommands
 		if task.State != wire.TaskExited {
 			if c.shouldStopOrphan(machine, attempt, full) {
+				c.metrics.count(countStops+string(stopOrphan), 1)
 				commands = append(commands, stopCommand(attempt, 0))
 			}
 			continue
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -50,6 +50,8 @@
 	shards         shardState
 	forwarding     jobForwarding
 	metrics        metrics
+	serving        serving
+	load           loadReport
 	cancellations  cancellationWatermark
 	completedTasks completedTasks
 	writeBudget    writeBudget
@@ -121,7 +123,7 @@
 func (c *Controller) handle(in Input) {
 	switch in := in.(type) {
 	case Tick:
-		c.tick()
+		c.tick(in.Load)
 	case JobSubmitted:
 		c.submit(in)
 	case JobPolled:
@@ -145,9 +147,11 @@
 	}
 }
 
-func (c *Controller) tick() {
+func (c *Controller) tick(load ProcessLoad) {
 	c.measureLag()
 	c.tickMembership()
+	c.logServing()
+	c.reviewProcessLoad(load)
 	if !c.membership.ready {
 		return
 	}
@@ -165,14 +169,6 @@
 // isDue reports whether the time t has been reached.
 func (c *Controller) isDue(t Time) bool { return c.now >= t }
 
-// Healthy reports whether this controller can take requests. It cannot while it is starting. A
-// controller that cannot reach the state store remains healthy only while the store appears to be
-// unreachable for all controllers, that is, while it is connected to enough peers and none of them
-// reports that it reaches the store.
-func (c *Controller) Healthy() bool {
-	return c.membership.ready && (c.storeReachable() || c.peerWithStore() == "" && !c.lostPeerQuorum())
-}
-
 // noteStoreResponse records that the state store has answered the call whose result is being
 // handled. The response to a call that was made before this process stalled is ignored. It may have
 // been buffered during the stall, so it shows neither that the store is reachable now nor that the
--- a/internal/controller/heartbeat_response.go
+++ b/internal/controller/heartbeat_response.go
@@ -29,7 +29,7 @@
 // carries commands and this controller's fencing token, under which the worker obeys them.
 func (c *Controller) handleHeartbeat(in HeartbeatReceived) {
 	if !c.membership.ready {
-		c.rejectHeartbeat(in.Request, "starting")
+		c.rejectHeartbeat(in.Request, heartbeatWhileStarting)
 		return
 	}
 	if in.Heartbeat.Token <= c.cache.token {
@@ -85,14 +85,28 @@
 			c.respondToHeartbeat(in)
 			return
 		}
-		c.rejectHeartbeat(in.Request, "withdrawals may not be known")
+		c.rejectHeartbeat(in.Request, heartbeatCancellationsNotKnown)
 	})
 }
 
+// heartbeatRefusal is a reason for which a heartbeat is answered without renewing the worker's
+// lease.
+type heartbeatRefusal struct {
+	counter string // the part of the counter's name that follows countHeartbeatsRefused
+	text    string // the error in the response
+}
+
+// The reasons of heartbeatRefusal.
+var (
+	heartbeatWhileStarting         = heartbeatRefusal{"starting", "starting"}
+	heartbeatCancellationsNotKnown = heartbeatRefusal{"cancellations_not_known", "withdrawals may not be known"}
+)
+
 // rejectHeartbeat answers a heartbeat without renewing the worker's lease. The worker then
 // tries another controller.
-func (c *Controller) rejectHeartbeat(request RequestID, reason string) {
-	c.reply(request, http.StatusServiceUnavailable, wire.ErrorResponse{Error: reason})
+func (c *Controller) rejectHeartbeat(request RequestID, refusal heartbeatRefusal) {
+	c.metrics.count(countHeartbeatsRefused+refusal.counter, 1)
+	c.reply(request, http.StatusServiceUnavailable, wire.ErrorResponse{Error: refusal.text})
 }
 
 // shouldRedirectToPeer reports whether a worker is to try another controller, and records that
@@ -122,6 +136,7 @@
 // redirectToPeer redirects a worker to a peer that reaches the state store, or to any other
 // controller if no peer is known to.
 func (c *Controller) redirectToPeer(request RequestID) {
+	c.metrics.count(countHeartbeatsRefused+"redirected_to_peer", 1)
 	c.reply(request, http.StatusMisdirectedRequest, wire.Redirect{Controller: c.peerWithStore()})
 }
 
@@ -144,5 +159,6 @@
 		// could repeat what is already done. The response may still renew the lease.
 		commands = c.stopCommands(machine)
 	}
+	c.metrics.count(countHeartbeatsAnswered, 1)
 	c.reply(in.Request, http.StatusOK, wire.HeartbeatResponse{Token: c.cache.token, Commands: commands})
 }
--- a/internal/controller/inputs.go
+++ b/internal/controller/inputs.go
@@ -13,8 +13,9 @@
 
 // The inputs.
 type (
-	// Tick reports that time has passed. It is due every [TickInterval].
-	Tick struct{}
+	// Tick reports that time has passed, and the load of the process. It is due every
+	// [TickInterval].
+	Tick struct{ Load ProcessLoad }
 
 	// JobSubmitted is a user's submission of a job whose syntax has been checked.
 	JobSubmitted struct {
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -40,23 +40,10 @@
 	c.refuse(request, http.StatusServiceUnavailable, reason, retryDelay)
 }
 
-// ensureServing reports whether requests can be decided now, and refuses the request if not.
-func (c *Controller) ensureServing(request RequestID) bool {
-	switch {
-	case !c.membership.ready || !c.cache.complete():
-		c.refuseUnavailable(request, reasonStarting)
-	case !c.storeReachable():
-		c.refuse(request, http.StatusServiceUnavailable, reasonStoreUnavailable, longRetryDelay)
-	default:
-		return true
-	}
-	return false
-}
-
 // afterBarrier calls then once the cache holds everything that was written before now. If that
 // cannot be established, it refuses the request instead.
 func (c *Controller) afterBarrier(request RequestID, then func()) {
-	if !c.storeReachable() {
+	if c.Unavailability() == UnavailableStore {
 		c.refuseUnavailable(request, reasonStoreUnavailable)
 		return
 	}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -51,6 +51,21 @@
 	countShardActions                 = "shares_" // followed by the kind of action
 	countShardConflicts               = "share_changes_lost"
 	countMachinesTerminated           = "machines_returned_" // followed by the reason
+	countHealthChanges                = "health_changes"
+	countInvariantViolations          = "invariant_violations"
+	countLoads                        = "loads"
+	countLoadsFailed                  = "loads_failed"
+	countBarriersFailed               = "barriers_failed"
+	countHeartbeatsAnswered           = "heartbeats_answered"
+	countHeartbeatsRefused            = "heartbeats_refused_" // followed by the reason
+	countLaunches                     = "launches_commanded"
+	countLaunchesRefused              = "launches_refused_" // followed by the reason
+	countStops                        = "stops_commanded_"  // followed by the reason
+
+	gaugeInboundConnections = "connections_inbound"
+	gaugeQueuedRequests     = "requests_queued"
+	gaugePollsUnanswered    = "polls_unanswered_" // followed by the reason
+	gaugeLoadDuration       = "load_last_ms"
 
 	latencyAdmission = "acceptance"
 	latencyJobStart  = "job_start"
@@ -71,6 +86,9 @@
 // count adds n to a counter.
 func (m *metrics) count(name string, n int) { m.counts[name] += uint64(n) }
 
+// set sets a counter that shows a present value.
+func (m *metrics) set(name string, value int) { m.counts[name] = uint64(value) }
+
 // observe adds an observation to a latency.
 func (m *metrics) observe(name string, latency time.Duration) {
 	// The value is clamped to the range of the histogram, so recording cannot fail.
--- a/internal/controller/provisioner.go
+++ b/internal/controller/provisioner.go
@@ -169,7 +169,7 @@
 	c.commitLeadership(claim, func(result CommitResult) {
 		c.provisioner.leaderlessSince = 0
 		if result.Outcome == Succeeded {
-			c.log.Info("became leader for scaling")
+			c.log.Info("became leader for scaling", "incarnation", c.membership.incarnation, "token", c.cache.token, "revision", result.Revision)
 		} else {
 			c.refreshCache()
 		}
@@ -184,7 +184,7 @@
 		return
 	}
 	c.provisioner.writingLeadership = true
-	c.log.Info("resigning as leader for scaling", "reason", "no direct heartbeats from workers")
+	c.log.Info("resigning as leader for scaling", "reason", "no direct heartbeats from workers", "incarnation", c.membership.incarnation, "token", c.cache.token)
 	c.commitLeadership(wire.Change{Delete: record.ProvisionerKey}, func(CommitResult) {
 		c.refreshCache()
 	})
--- a/internal/controller/read_barrier.go
+++ b/internal/controller/read_barrier.go
@@ -65,6 +65,9 @@
 		// A reload during the request may have set the cache back to an earlier revision. The
 		// response would then leave a gap.
 		ok := after <= c.cache.revision && c.applyWatchResult(result)
+		if !ok {
+			c.metrics.count(countBarriersFailed, 1)
+		}
 		for _, then := range c.cache.barrier.end() {
 			then(ok)
 		}
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -52,7 +52,24 @@
 // reloadCache reads all keys. This is needed at the start, and when the state store has compacted
 // the changes that the cache is missing.
 func (c *Controller) reloadCache() {
-	c.emit(LoadKeys{registerCall(c, c.applyLoadResult), record.LoadPrefixes})
+	startedAt := c.now
+	c.emit(LoadKeys{registerCall(c, func(result LoadResult) {
+		c.noteLoad(result, c.now.Sub(startedAt))
+		c.applyLoadResult(result)
+	}), record.LoadPrefixes})
+}
+
+// noteLoad logs and counts the result of a load of all keys.
+func (c *Controller) noteLoad(result LoadResult, took time.Duration) {
+	c.metrics.set(gaugeLoadDuration, int(took.Milliseconds()))
+	if result.Outcome != Succeeded {
+		c.metrics.count(countLoadsFailed, 1)
+		c.log.Debug("load of all keys failed", "outcome", int(result.Outcome), "took", took)
+		return
+	}
+	c.metrics.count(countLoads, 1)
+	c.log.Info("loaded all keys", "keys", len(result.Entries), "from_revision", result.First, "to_revision", result.Last, "took", took,
+		"failed_before", c.metrics.counts[countLoadsFailed])
 }
 
 // applyLoadResult replaces the content of the cache by the keys that were read. They are read page
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -38,6 +38,7 @@
 	backend         Backend
 	log             *slog.Logger
 	userRequests    atomic.Int64 // in progress
+	polls           pollCounters
 	maxUserRequests int64
 	budget          sockets.Budget
 }
@@ -119,30 +120,38 @@
 // the user opens another connection, possibly to a controller with fewer connections. While
 // there are even more connections, or too many user requests in progress, users are refused.
 func (s *Server) limitUserRequests(c fiber.Ctx) error {
-	connections := int(s.app.Server().GetOpenConnectionsCount())
+	connections := s.openConnections()
 	if connections > s.budget.CloseAfterReplyAbove {
 		c.RequestCtx().SetConnectionClose()
 	}
 	inProgress := s.userRequests.Add(1)
 	defer s.userRequests.Add(-1)
-	if inProgress > s.maxUserRequests || connections > s.budget.RefuseUsersAbove {
-		return sendUnavailable(c, "too many requests at once")
+	switch {
+	case connections > s.budget.RefuseUsersAbove:
+		s.countRefusal(c, controller.RefusedForConnections)
+	case inProgress > s.maxUserRequests:
+		s.countRefusal(c, controller.RefusedForRequests)
+	default:
+		return c.Next()
 	}
-	return c.Next()
+	return sendUnavailable(c, "too many requests at once")
 }
 
 // dispatch passes an input to the controller and responds with the controller's reply.
 func (s *Server) dispatch(c fiber.Ctx, makeInput func(controller.RequestID) controller.Input) error {
 	replies, ok := s.backend.Enqueue(makeInput)
 	if !ok {
+		s.countRefusal(c, controller.RefusedForQueue)
 		return sendUnavailable(c, "too much to do")
 	}
 	timer := time.NewTimer(requestTimeout)
 	defer timer.Stop()
 	select {
 	case reply := <-replies:
+		s.countReply(c, reply.Status)
 		return sendReply(c, reply)
 	case <-timer.C:
+		s.countRefusal(c, controller.RefusedForTime)
 		return sendUnavailable(c, "no decision in time")
 	}
 }
