Log a controller as leader for scaling only once it is ready

Cause: before its start a process has incarnation 0, as has the record of a leader that does not exist, so the new line "serving state changed" said leader=true for every process that started (seen in a replay).

Change: the line demands that the controller is ready. No decision depends on it: scaling does nothing before that.

--- a/internal/controller/serving.go
+++ b/internal/controller/serving.go
@@ -78,7 +78,7 @@
 	}
 	c.log.Info("serving state changed", "healthy", healthy, "unavailable", string(unavailability),
 		"previous_state_for", c.now.Sub(last.since).Round(time.Millisecond),
-		"incarnation", c.membership.incarnation, "token", c.cache.token, "leader", c.isProvisioner(),
+		"incarnation", c.membership.incarnation, "token", c.cache.token, "leader", c.membership.ready && c.isProvisioner(),
 		"revision", c.cache.revision, "store_response_age", c.now.Sub(c.cache.lastStoreResponse).Round(time.Millisecond),
 		"peers_connected", c.gossip.countConnected(c.now))
 }
