Soak: random faults on real controllers, users at all nodes, checks on the recorded history

Change: TestSoak extends the load cluster. Links stand between any two processes and can hold either direction, delay, deliver requests late and lose responses; controllers are killed, paused, restarted one by one, all at once, or whoever leads several times in a row; the store is away, slow or compacted; zones are partitioned and workers hear nothing or are not heard. Users submit arrays, gangs and services through the load balancer, poll, cancel, and ask and resubmit at all controllers at once, before and after the faults are over.

Each check is shown to fail on a history that breaks it (TestHistoryDetects...).

--- a/cmd/lilacrill/load_bench_test.go
+++ b/cmd/lilacrill/load_bench_test.go
@@ -41,6 +41,8 @@
 	build build
 	// profiled makes the controllers write profiles.
 	profiled bool
+	// linked puts a link that can be made faulty between any two processes.
+	linked bool
 }
 
 // teams returns the teams of the cluster.
@@ -136,7 +138,9 @@
 	balancer            *simulation.LoadBalancer
 	state               *simulation.StoreServer
 	history             *simulation.History
+	types               []wire.MachineType
 	builds              []build // of each controller
+	network             *loadNetwork
 	jobs                atomic.Int64
 	pollInterval        atomic.Int64
 	pollCount           atomic.Int64
@@ -153,27 +157,32 @@
 	if l.outDir == "" {
 		l.outDir = b.TempDir()
 	}
+	if os.Getenv(outDirVariable) == "" {
+		b.Cleanup(interruptCleanup.add(func() { _ = os.RemoveAll(filepath.Dir(l.outDir)) }))
+	}
 	l.pollInterval.Store(int64(defaultPollInterval))
 	l.ctx, l.stop = context.WithCancel(context.Background())
-	types := []wire.MachineType{
+	l.types = []wire.MachineType{
 		{Name: "c4", Cores: 4, MemGB: 32, OnDemandPrice: 0.3, SpotPrice: 0.1, StartupS: 15, PullGBPerS: 0.8, Zones: size.zones},
 		{Name: "c16", Cores: 16, MemGB: 64, OnDemandPrice: 1.1, SpotPrice: 0.4, StartupS: 30, PullGBPerS: 0.2, Zones: size.zones},
 	}
 	l.state = simulation.NewStoreServer()
 	l.state.RecordPlacements(l.history)
 	state := httptest.NewServer(l.state)
-	cloud := httptest.NewServer(simulation.CloudServer{Types: types, Machines: func() []wire.CloudMachine { return l.workers.CloudMachines() },
+	cloud := httptest.NewServer(simulation.CloudServer{Types: l.types, Machines: func() []wire.CloudMachine { return l.workers.CloudMachines() },
+		Provision: func(request wire.ProvisionRequest) []wire.MachineID { return l.workers.Provision(request) },
 		Terminate: func(names []wire.MachineID) { l.workers.Terminate(names) }})
 	var peers []string
 	for range size.controllers {
 		l.addrs, peers = append(l.addrs, freeAddr(b)), append(peers, freeAddr(b))
 	}
+	l.network = newLoadNetwork(b, size.linked, l.addrs, peers, strings.TrimPrefix(state.URL, "http://"), strings.TrimPrefix(cloud.URL, "http://"))
 	var err error
-	l.workers, err = simulation.StartLoopbackWorkers(l.ctx, simulation.LoopbackSettings{Controllers: l.addrs, Labels: l.labels(),
-		HeartbeatInterval: config.Seconds(size.reportS), Lease: config.Seconds(size.leaseS), Zones: size.zones, Types: types, History: l.history}, size.workers)
+	l.workers, err = simulation.StartLoopbackWorkers(l.ctx, simulation.LoopbackSettings{Controllers: l.network.forWorkers.addrs(), Labels: l.labels(),
+		HeartbeatInterval: config.Seconds(size.reportS), Lease: config.Seconds(size.leaseS), Zones: size.zones, Types: l.types, History: l.history}, size.workers)
 	require.NoError(b, err)
 	for i := range size.controllers {
-		l.writeSettings(i, peers, strings.TrimPrefix(state.URL, "http://"), strings.TrimPrefix(cloud.URL, "http://"))
+		l.writeSettings(i, peers)
 	}
 	l.processes, l.phases, l.builds = make([]*exec.Cmd, size.controllers), make([]int, size.controllers), make([]build, size.controllers)
 	for i := range l.builds {
@@ -188,12 +197,13 @@
 		state.CloseClientConnections()
 		state.Close()
 		cloud.Close()
+		l.network.close()
 	})
 	for i := range l.processes {
 		l.start(i)
 	}
 	l.keepIdleMachines()
-	l.balancer = simulation.StartLoadBalancer(l.ctx, l.addrs)
+	l.balancer = simulation.StartLoadBalancer(l.ctx, l.network.forUsers.addrs())
 	return l
 }
 
@@ -206,17 +216,17 @@
 	return labels
 }
 
-func (l *loadCluster) writeSettings(i int, peers []string, state, cloud string) {
+func (l *loadCluster) writeSettings(i int, peers []string) {
 	settings := config.Settings{Label: fmt.Sprint("node-", i), Zone: l.size.zones[i%len(l.size.zones)], PublicAddr: l.addrs[i], PeerListen: peers[i],
-		Services: config.Services{Cloud: cloud, State: state},
+		Services: config.Services{Cloud: l.network.toCloud[i].addr, State: l.network.toState[i].addr},
 		Cluster: config.Cluster{Size: l.size.controllers, Zones: l.size.zones, SkewMS: 25,
 			Workers: config.Workers{ReportS: l.size.reportS, LeaseS: l.size.leaseS, GangWaitS: 45, GangPeerS: 8, CancelS: l.size.cancelS},
 			State:   config.State{RPS: 200, WriteRPS: l.size.writeRPS, ValueKB: 8, TxnOps: 32},
 			Cloud:   config.Cloud{RPS: 5, ListLagS: 3}, Quota: l.size.quota}}
 	settings.Cluster.Teams = l.size.teams()
-	for n, peer := range peers {
+	for n, peer := range l.network.toPeers[i] {
 		if n != i {
-			settings.Siblings = append(settings.Siblings, config.Sibling{Label: fmt.Sprint("node-", n), Zone: l.size.zones[n%len(l.size.zones)], Endpoint: peer})
+			settings.Siblings = append(settings.Siblings, config.Sibling{Label: fmt.Sprint("node-", n), Zone: l.size.zones[n%len(l.size.zones)], Endpoint: peer.addr})
 		}
 	}
 	text, err := toml.Marshal(settings)
@@ -238,8 +248,11 @@
 	log, err := os.OpenFile(filepath.Join(l.outDir, fmt.Sprintf("node-%d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(l.tb, err)
 	process.Stderr = log
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the test binary is killed
 	require.NoError(l.tb, process.Start())
 	require.NoError(l.tb, log.Close()) // the process has its own descriptor
+	removeKill := interruptCleanup.add(func() { _ = process.Process.Kill() })
+	l.tb.Cleanup(removeKill)
 	l.processes[i], l.phases[i] = process, 0
 }
 
--- a/cmd/lilacrill/load_profile_test.go
+++ b/cmd/lilacrill/load_profile_test.go
@@ -29,6 +29,7 @@
 	}
 	dir := os.Getenv(profileVariable)
 	if dir == "" {
+		exitOnInterrupt()
 		os.Exit(m.Run())
 	}
 	if err := runProfiledController(dir); err != nil {
--- a/cmd/lilacrill/workers_gather_test.go
+++ b/cmd/lilacrill/workers_gather_test.go
@@ -52,7 +52,7 @@
 	}
 	require.Equal(t, users, l.history.AnsweredSince(over, jobs), "jobs about which a question was answered within %v", answerLimit)
 	l.stop()
-	l.requireNoViolations(t)
+	require.Empty(t, l.loggedErrors(t))
 }
 
 // awaitWorkersAt waits until a controller has answered the latest heartbeat of every worker.
@@ -60,13 +60,18 @@
 	require.Eventually(l.tb, func() bool { return l.workers.CountAt(controller) == l.size.workers }, testTimeout, 100*time.Millisecond)
 }
 
-// requireNoViolations requires that no controller has logged the violation of an invariant.
-func (l *loadCluster) requireNoViolations(t testing.TB) {
+// loggedErrors returns the errors that the controllers have logged. Among them are violations of
+// invariants.
+func (l *loadCluster) loggedErrors(t testing.TB) []string {
+	var logged []string
 	for i := range l.size.controllers {
 		text, err := os.ReadFile(filepath.Join(l.outDir, fmt.Sprintf("node-%d.log", i)))
 		require.NoError(t, err)
 		for line := range strings.Lines(string(text)) {
-			require.NotContains(t, line, "invariant violated", "controller %d", i)
+			if strings.Contains(line, "level=ERROR") || strings.Contains(line, "panic:") {
+				logged = append(logged, fmt.Sprintf("controller %d logged: %s", i, strings.TrimSpace(line)))
+			}
 		}
 	}
+	return logged
 }
--- a/internal/simulation/cloud_server.go
+++ b/internal/simulation/cloud_server.go
@@ -10,11 +10,14 @@
 	"lilacrill/wire"
 )
 
-// CloudServer is a fake of the cloud over HTTP. It has a catalogue but no capacity.
+// CloudServer is a fake of the cloud over HTTP.
 type CloudServer struct {
 	Types []wire.MachineType
 	// Machines, unless nil, returns the machines that were provisioned before, in any order.
 	Machines func() []wire.CloudMachine
+	// Provision, unless nil, returns the machines for a request. Without it, or if it returns none,
+	// there is no capacity.
+	Provision func(wire.ProvisionRequest) []wire.MachineID
 	// Terminate, unless nil, ends machines and everything on them.
 	Terminate func([]wire.MachineID)
 }
@@ -27,7 +30,7 @@
 	case r.URL.Path == "/hosts" && r.Method == http.MethodGet:
 		writeJSON(w, http.StatusOK, s.machinePage(r))
 	case r.URL.Path == "/hosts":
-		writeJSON(w, http.StatusServiceUnavailable, wire.ErrorResponse{Error: "no capacity"})
+		s.serveProvision(w, r)
 	default:
 		var names wire.MachineNames
 		if json.NewDecoder(r.Body).Decode(&names) == nil && s.Terminate != nil {
@@ -37,6 +40,23 @@
 	}
 }
 
+func (s CloudServer) serveProvision(w http.ResponseWriter, r *http.Request) {
+	var request wire.ProvisionRequest
+	if json.NewDecoder(r.Body).Decode(&request) != nil {
+		writeMalformed(w)
+		return
+	}
+	var names []wire.MachineID
+	if s.Provision != nil {
+		names = s.Provision(request)
+	}
+	if len(names) == 0 {
+		writeJSON(w, http.StatusServiceUnavailable, wire.ErrorResponse{Error: "no capacity"})
+		return
+	}
+	writeJSON(w, http.StatusOK, wire.MachineNames{Names: names})
+}
+
 // machinePage returns the part of the machine list that a request selects.
 func (s CloudServer) machinePage(r *http.Request) wire.MachineList {
 	list := wire.MachineList{Machines: []wire.CloudMachine{}}
--- a/internal/simulation/history.go
+++ b/internal/simulation/history.go
@@ -60,6 +60,9 @@
 	TaskPlaced
 	// MachineTerminated is the termination of a machine together with its tasks.
 	MachineTerminated
+	// MachineJoined is the first answer to a heartbeat of a machine, from which on it may get
+	// tasks. Machine, Type and Zone are set.
+	MachineJoined
 	// QuestionUnanswered is a request about an accepted job that got no status: no response in
 	// time, or a response other than 200 and 404. Job and RequestedAt are set.
 	QuestionUnanswered
--- a/internal/simulation/history_check.go
+++ b/internal/simulation/history_check.go
@@ -89,6 +89,7 @@
 	case JobNotFound:
 		c.reportViolation("%s was accepted and then not found", event.Job)
 	case QuestionUnanswered: // see CheckAnswered
+	case MachineJoined: // see CheckWaiting
 	case MachineTerminated: // the ends of its tasks are separate events
 	}
 }
--- a/internal/simulation/history_check_answered.go
+++ b/internal/simulation/history_check_answered.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -39,6 +40,21 @@
 	return violations
 }
 
+// OpenJobs returns the accepted jobs of which no terminal status has been reported.
+func (h *History) OpenJobs() []wire.JobID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	open, ended := map[wire.JobID]bool{}, map[wire.JobID]bool{}
+	for _, event := range h.events {
+		if event.Kind == StatusReported {
+			open[event.Job] = true
+			ended[event.Job] = ended[event.Job] || event.Status.IsTerminal()
+		}
+	}
+	maps.DeleteFunc(open, func(id wire.JobID, _ bool) bool { return ended[id] })
+	return slices.Sorted(maps.Keys(open))
+}
+
 // AnsweredSince returns about how many of the given jobs a question that was asked at or after the
 // time from has been answered.
 func (h *History) AnsweredSince(from time.Time, jobs []wire.JobID) int {
--- a/internal/simulation/history_test.go
+++ b/internal/simulation/history_test.go
@@ -63,6 +63,57 @@
 	require.Empty(t, valid.Check([]config.Team{{Name: "blue", CPUsMax: 2}}, time.Minute))
 }
 
+// TestHistoryDetectsUnansweredQuestions checks that History.CheckAnswered reports jobs about which
+// no question is answered for too long after the faults, and no others.
+func TestHistoryDetectsUnansweredQuestions(t *testing.T) {
+	second := func(n int) time.Time { return time.Unix(int64(n), 0) }
+	asked := func(kind HistoryKind, at int) HistoryEvent {
+		return HistoryEvent{Kind: kind, Job: "wk-1", Status: wire.StatusRunning, RequestedAt: second(at), At: second(at + 1)}
+	}
+	const limit = 75 * time.Second
+	forgotten := historyOf([]HistoryEvent{asked(StatusReported, 5), asked(QuestionUnanswered, 20), asked(QuestionUnanswered, 60), asked(QuestionUnanswered, 94)})
+	require.Len(t, forgotten.CheckAnswered(second(20), limit), 1)
+	require.Empty(t, forgotten.CheckAnswered(second(21), limit), "questions from before the end of the faults do not count")
+	answered := historyOf([]HistoryEvent{asked(QuestionUnanswered, 20), asked(StatusReported, 60), asked(QuestionUnanswered, 94), asked(QuestionUnanswered, 130)})
+	require.Empty(t, answered.CheckAnswered(second(20), limit))
+
+	require.Equal(t, 1, answered.AnsweredSince(second(60), []wire.JobID{"wk-1", "wk-2"}))
+	require.Zero(t, answered.AnsweredSince(second(61), []wire.JobID{"wk-1"}))
+	unknown := historyOf([]HistoryEvent{asked(StatusReported, 5), asked(JobNotFound, 6)})
+	require.Contains(t, strings.Join(unknown.Check(nil, time.Minute), "; "), "not found")
+}
+
+// TestHistoryDetectsWaitingJobs checks that History.CheckWaiting reports a job that waits beside
+// room, and none that waits because of its team's limit, its zone, or for less than the limit.
+func TestHistoryDetectsWaitingJobs(t *testing.T) {
+	types := []wire.MachineType{{Name: "c4", Cores: 4, MemGB: 32}}
+	teams := []config.Team{{Name: "blue", CPUsMax: 2}}
+	joined := HistoryEvent{Kind: MachineJoined, Machine: "m-1", Type: "c4", Zone: "east"}
+	accepted := HistoryEvent{Kind: StatusReported, Job: "wk-1", Status: wire.StatusPending}
+	check := func(zone string, tasks int, shape wire.Shape, events ...HistoryEvent) []string {
+		h := historyOf(events)
+		h.specs["wk-1"] = wire.JobSpec{ID: "wk-1", Team: "blue", Shape: shape, Tasks: tasks, Zone: zone, Cores: 1, MemGB: 1}
+		return h.CheckWaiting(types, teams, time.Unix(10, 0), 90*time.Second)
+	}
+	at := func(second int, event HistoryEvent) HistoryEvent {
+		event.At = time.Unix(int64(second), 0)
+		return event
+	}
+	task := func(second, index int) HistoryEvent {
+		return at(second, HistoryEvent{Kind: TaskStarted, Job: "wk-1", Machine: "m-1", Type: "c4", Zone: "east", Task: wire.TaskID{Job: "wk-1", Index: index}})
+	}
+	asked := HistoryEvent{Kind: QuestionUnanswered, Job: "wk-1"}
+
+	require.Len(t, check("", 1, wire.ShapeArray, at(1, joined), at(2, accepted), at(50, asked), at(101, asked)), 1)
+	require.Len(t, check("", 2, wire.ShapeGang, at(1, joined), at(2, accepted), at(50, asked), at(101, asked)), 1)
+	require.Empty(t, check("", 3, wire.ShapeGang, at(1, joined), at(2, accepted), at(50, asked), at(101, asked)), "above the team's limit")
+	require.Empty(t, check("", 1, wire.ShapeArray, at(1, joined), at(2, accepted), at(50, asked), at(99, asked)), "less than the limit after the faults")
+	require.Empty(t, check("west", 1, wire.ShapeArray, at(1, joined), at(2, accepted), at(50, asked), at(101, asked)), "no machine in the zone")
+	require.Empty(t, check("", 1, wire.ShapeArray, at(1, joined), at(2, accepted), task(50, 0), at(150, asked)), "the task runs")
+	require.Empty(t, check("", 3, wire.ShapeArray, at(1, joined), at(2, accepted), task(50, 0), task(51, 1), at(150, asked)), "the team is at its limit")
+	require.Empty(t, check("", 1, wire.ShapeArray, at(1, joined), at(2, accepted), at(3, HistoryEvent{Kind: MachineTerminated, Machine: "m-1"}), at(50, asked), at(101, asked)))
+}
+
 // TestHistoryDetectsRepeatedTasks checks that History.CheckExactlyOnce reports each way in which
 // a task can run other than exactly once, and nothing for valid histories.
 func TestHistoryDetectsRepeatedTasks(t *testing.T) {
--- a/internal/simulation/loopback_worker.go
+++ b/internal/simulation/loopback_worker.go
@@ -15,6 +15,8 @@
 const (
 	// loopbackPullTime is the time that a worker takes to pull an image.
 	loopbackPullTime = 200 * time.Millisecond
+	// loopbackBootTime is the time from the provisioning of a machine to its first heartbeat.
+	loopbackBootTime = 2 * time.Second
 	// minHeartbeatPause is the shortest time between two heartbeats of a worker.
 	minHeartbeatPause = 500 * time.Millisecond
 	// failoverPause is the time from a failed heartbeat to the next one, which goes to
@@ -45,7 +47,8 @@
 	sequence   wire.Sequence
 	token      wire.FencingToken
 	tasks      map[taskKey]*wire.TaskStatus
-	lastAnswer int // index of the controller that answered the last heartbeat, or noController
+	lastAnswer int  // index of the controller that answered the last heartbeat, or noController
+	joined     bool // any heartbeat was answered
 }
 
 func (w *loopbackWorker) answeredBy() int {
@@ -214,6 +217,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastAnswer = w.controller
+	if h := w.fleet.settings.History; h != nil && !w.joined {
+		w.joined = true
+		h.Record(HistoryEvent{Kind: MachineJoined, Machine: w.id, Type: w.machineType, Zone: w.zone})
+	}
 	if w.terminated || response.Token < w.token || heartbeat.AgentEpoch != w.agentEpoch {
 		return
 	}
--- a/internal/simulation/store_server.go
+++ b/internal/simulation/store_server.go
@@ -49,6 +49,13 @@
 	return s.store.List(prefix)
 }
 
+// Compact drops all recorded changes, so that clients that have not read them load the keys again.
+func (s *StoreServer) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Compact()
+}
+
 func (s *StoreServer) now() controller.Time { return controller.Time(time.Since(s.start)) }
 
 // ServeHTTP implements http.Handler.
@@ -148,6 +155,10 @@
 	block, _ := strconv.ParseInt(query.Get("block_ms"), 10, 64)
 	timer := time.NewTimer(time.Duration(block) * time.Millisecond)
 	defer timer.Stop()
+	if s.store.IsCompacted(wire.Revision(after)) {
+		writeJSON(w, http.StatusGone, wire.ErrorResponse{Error: "compacted"})
+		return
+	}
 	changes := func() wire.WatchResponse { return s.store.Changes(query.Get("under"), wire.Revision(after)) }
 	for waiting := true; waiting && len(changes().Events) == 0; {
 		changed := s.changed
