Reads of the state store no longer wait for write tokens

Cause: calls to the state store wait for tokens in one line by priority, and a call without tokens held up every call behind it. A transaction that waits for write tokens, of which there are 50 a second for all controllers of a large site, so held up the reads for answers, which need a request token only. The same reads keep launches and lease renewals allowed, and let a worker that has seen a new fencing token be answered.

TestReadsDoNotWaitForWrites failed before.

Why it works: a call that waits for write tokens holds up only calls with writes, so a large transaction is not starved by small ones as before. A call that lacks a request token still holds up all behind it, so reads cannot starve a transaction either.

--- a/internal/statestore/queue.go
+++ b/internal/statestore/queue.go
@@ -22,8 +22,9 @@
 )
 
 // queue starts calls as tokens for requests and for writes become available, those of the most
-// urgent priority first. A call that waits for tokens holds up all calls behind it, so that many
-// small calls cannot starve a large one.
+// urgent priority first. A call that waits for a request token holds up all calls behind it, and a
+// call that waits for write tokens all calls with writes behind it, so that many small calls cannot
+// starve a large one. A read needs no write token, so it does not wait for calls that do.
 type queue struct {
 	mu       sync.Mutex
 	waiting  [controller.PriorityLevels][]*queuedCall
@@ -97,24 +98,26 @@
 func (q *queue) startCalls(now time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	blocked := false
+	readsBlocked, writesBlocked := false, false
 	for priority, calls := range q.waiting {
 		kept := calls[:0]
 		for _, call := range calls {
+			blocked := readsBlocked || writesBlocked && call.writes > 0
 			switch {
 			case now.After(call.deadline):
 				go call.expire()
 			case !blocked && q.takeTokens(now, call.writes):
 				go call.run()
 			default:
-				blocked = true
+				writesBlocked = true
+				readsBlocked = readsBlocked || q.requests.TokensAt(now) < 1
 				kept = append(kept, call)
 			}
 		}
 		clear(calls[len(kept):])
 		q.waiting[priority] = kept
 	}
-	if blocked {
+	if writesBlocked {
 		return pollInterval
 	}
 	return 0
--- a/internal/statestore/queue_test.go
+++ b/internal/statestore/queue_test.go
@@ -61,3 +61,29 @@
 	require.False(t, q.takeTokens(now, 1))
 	require.True(t, q.takeTokens(now.Add(time.Second), 12))
 }
+
+// TestReadsDoNotWaitForWrites guards against polls that go unanswered because the reads that they
+// need wait behind transactions for which there are no write tokens.
+func TestReadsDoNotWaitForWrites(t *testing.T) {
+	q := newQueue(100, 10)
+	now := time.Now().Add(time.Minute)
+	require.True(t, q.takeTokens(now, q.writes.Burst()), "takes all write tokens")
+	ran := make(chan string, 4)
+	call := func(name string, writes int) *queuedCall {
+		return &queuedCall{writes: writes, deadline: now.Add(time.Hour), run: func() { ran <- name }, expire: func() { t.Error("expired") }}
+	}
+	q.add(controller.PriorityUrgent, call("placement", 5))
+	q.add(controller.PriorityAdmission, call("submission", 1))
+	q.add(controller.PriorityAdmission, call("read", 0))
+	require.Positive(t, q.startCalls(now))
+	select {
+	case first := <-ran:
+		require.Equal(t, "read", first)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the read waits for write tokens")
+	}
+	require.Positive(t, q.startCalls(now.Add(200*time.Millisecond)))
+	require.Empty(t, ran, "a small transaction does not overtake a large one")
+	require.Zero(t, q.startCalls(now.Add(time.Second)))
+	require.ElementsMatch(t, []string{"placement", "submission"}, []string{<-ran, <-ran})
+}
