--- a/cmd/lilacrill/workers_gather_test.go
+++ b/cmd/lilacrill/workers_gather_test.go
@@ -1,10 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -59,19 +55,3 @@
 func (l *loadCluster) awaitWorkersAt(controller int) {
 	require.Eventually(l.tb, func() bool { return l.workers.CountAt(controller) == l.size.workers }, testTimeout, 100*time.Millisecond)
 }
-
-// loggedErrors returns the errors that the controllers have logged. Among them are violations of
-// invariants.
-func (l *loadCluster) loggedErrors(t testing.TB) []string {
-	var logged []string
-	for i := range l.size.controllers {
-		text, err := os.ReadFile(filepath.Join(l.outDir, fmt.Sprintf("node-%d.log", i)))
-		require.NoError(t, err)
-		for line := range strings.Lines(string(text)) {
-			if strings.Contains(line, "level=ERROR") || strings.Contains(line, "panic:") {
-				logged = append(logged, fmt.Sprintf("controller %d logged: %s", i, strings.TrimSpace(line)))
-			}
-		}
-	}
-	return logged
-}
--- a/internal/cloud/golden_test.go
+++ b/internal/cloud/golden_test.go
@@ -1,11 +1,7 @@
 package cloud
 
 import (
-	"encoding/json"
-	"io"
 	"log/slog"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -27,17 +23,15 @@
 	golden.NewFiller(2).Fill(&names)
 	machines.More = false
 	recorder := &golden.Recorder{Responses: map[string]string{
-		"GET /catalog":       encode(t, catalogue),
-		"GET /hosts":         encode(t, machines),
-		"POST /hosts":        encode(t, names),
+		"GET /catalog":       golden.Encode(t, catalogue),
+		"GET /hosts":         golden.Encode(t, machines),
+		"POST /hosts":        golden.Encode(t, names),
 		"POST /hosts/return": `{}`,
 	}}
-	server := httptest.NewServer(recorder)
-	t.Cleanup(server.Close)
 	client := New(&config.Settings{
-		Services: config.Services{Cloud: strings.TrimPrefix(server.URL, "http://")},
+		Services: config.Services{Cloud: recorder.Start(t)},
 		Cluster:  config.Cluster{Cloud: config.Cloud{RPS: 100}, Quota: config.Quota{Sockets: 500}},
-	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}, slog.New(slog.DiscardHandler))
 
 	read := make(chan controller.CatalogueResult, 1)
 	client.ReadCatalogue(func(r controller.CatalogueResult) { read <- r })
@@ -59,10 +53,3 @@
 
 	golden.Compare(t, "requests.txt", recorder.Requests())
 }
-
-func encode(t *testing.T, v any) string {
-	t.Helper()
-	text, err := json.Marshal(v)
-	require.NoError(t, err)
-	return string(text)
-}
--- a/internal/golden/recorder.go
+++ b/internal/golden/recorder.go
@@ -2,10 +2,16 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
 )
 
 // Recorder is an HTTP handler that records requests, one line each, and responds with a fixed body
@@ -46,3 +52,19 @@
 	defer r.mu.Unlock()
 	return bytes.Clone(r.requests.Bytes())
 }
+
+// Start serves the recorder on a loopback address until the test ends, and returns the address.
+func (r *Recorder) Start(t testing.TB) string {
+	t.Helper()
+	server := httptest.NewServer(r)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Encode returns a value as JSON.
+func Encode(t testing.TB, value any) string {
+	t.Helper()
+	text, err := json.Marshal(value)
+	require.NoError(t, err)
+	return string(text)
+}
--- a/internal/statestore/golden_test.go
+++ b/internal/statestore/golden_test.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"log/slog"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
@@ -21,17 +17,13 @@
 // startClient starts a client whose requests are received and answered by recorder.
 func startClient(t *testing.T, recorder *golden.Recorder) *Client {
 	t.Helper()
-	server := httptest.NewServer(recorder)
 	client := New(&config.Settings{
-		Services: config.Services{State: strings.TrimPrefix(server.URL, "http://")},
+		Services: config.Services{State: recorder.Start(t)},
 		Cluster:  config.Cluster{State: config.State{RPS: 1000, WriteRPS: 1000}, Quota: config.Quota{Sockets: 500}},
-	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}, slog.New(slog.DiscardHandler))
 	ctx, stop := context.WithCancel(context.Background())
 	go client.Serve(ctx)
-	t.Cleanup(func() {
-		stop()
-		server.Close()
-	})
+	t.Cleanup(stop)
 	return client
 }
 
@@ -48,10 +40,10 @@
 	golden.NewFiller(2).Fill(&watched)
 	entries.More = false
 	recorder := &golden.Recorder{Responses: map[string]string{
-		"GET /kv/a/b":           encode(t, entry),
-		"GET /kv":               encode(t, entries),
-		"POST /multi":           encode(t, committed),
-		"GET /follow":           encode(t, watched),
+		"GET /kv/a/b":           golden.Encode(t, entry),
+		"GET /kv":               golden.Encode(t, entries),
+		"POST /multi":           golden.Encode(t, committed),
+		"GET /follow":           golden.Encode(t, watched),
 		"POST /leases":          `{"permit":7}`,
 		"POST /leases/7/extend": `{}`,
 	}}
@@ -86,10 +78,3 @@
 
 	golden.Compare(t, "requests.txt", recorder.Requests())
 }
-
-func encode(t *testing.T, v any) string {
-	t.Helper()
-	text, err := json.Marshal(v)
-	require.NoError(t, err)
-	return string(text)
-}
--- a/internal/worker/golden_test.go
+++ b/internal/worker/golden_test.go
@@ -1,11 +1,7 @@
 package worker
 
 import (
-	"encoding/json"
-	"io"
 	"log/slog"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -20,13 +16,10 @@
 func TestGoldenRequests(t *testing.T) {
 	var heartbeat wire.Heartbeat
 	golden.NewFiller(2).Fill(&heartbeat)
-	response, err := json.Marshal(&heartbeat)
-	require.NoError(t, err)
-	recorder := &golden.Recorder{Responses: map[string]string{"POST /do": string(response), "GET /show": string(response)}}
-	server := httptest.NewServer(recorder)
-	defer server.Close()
-	addr := strings.TrimPrefix(server.URL, "http://")
-	client := New(slog.New(slog.NewTextHandler(io.Discard, nil)), 4)
+	response := golden.Encode(t, &heartbeat)
+	recorder := &golden.Recorder{Responses: map[string]string{"POST /do": response, "GET /show": response}}
+	addr := recorder.Start(t)
+	client := New(slog.New(slog.DiscardHandler), 4)
 
 	var request wire.CommandRequest
 	golden.NewFiller(2).Fill(&request)
