--- a/cmd/lilacrill/main_test.go
+++ b/cmd/lilacrill/main_test.go
@@ -28,13 +28,17 @@
 // how long it takes.
 const testTimeout = time.Minute
 
-// lastLoopbackAddr is the last byte of the loopback address that freeAddr returned last.
+// lastLoopbackAddr is the number of the loopback address that freeAddr returned last.
 var lastLoopbackAddr atomic.Int32
 
+// loopbackAddrsPerSubnet is how many addresses freeAddr uses of each subnet of 256.
+const loopbackAddrsPerSubnet = 250
+
 // freeAddr returns a free port on a loopback address that nothing else uses, so that no other
 // listener or outgoing connection takes the port before the test does.
 func freeAddr(t testing.TB) string {
-	ln, err := net.Listen("tcp4", fmt.Sprintf("127.77.0.%d:0", lastLoopbackAddr.Add(1)))
+	number := int(lastLoopbackAddr.Add(1))
+	ln, err := net.Listen("tcp4", fmt.Sprintf("127.77.%d.%d:0", number/loopbackAddrsPerSubnet, number%loopbackAddrsPerSubnet+1))
 	require.NoError(t, err)
 	require.NoError(t, ln.Close())
 	return ln.Addr().String()
