--- a/cmd/lilacrill/process_test.go
+++ b/cmd/lilacrill/process_test.go
@@ -15,8 +15,7 @@
 	"lilacrill/wire"
 )
 
-// TestPollsDoNotWaitBehindHeartbeats guards against polls that are refused or answered too late
-// because the heartbeats of many workers fill the event loop's queue.
+// TestPollsDoNotWaitBehindHeartbeats guards against heartbeats that fill the event loop's queue.
 func TestPollsDoNotWaitBehindHeartbeats(t *testing.T) {
 	settings := &config.Settings{Label: "rig-0", Zone: "east", Cluster: config.Cluster{Size: 1, State: config.State{RPS: 100, WriteRPS: 100, ValueKB: 8, TxnOps: 16},
 		Quota: config.Quota{CoreShare: 1, MemMB: 200, Sockets: 2000}}}
--- a/cmd/lilacrill/workers_gather_test.go
+++ b/cmd/lilacrill/workers_gather_test.go
@@ -19,8 +19,7 @@
 var gatheringLoad = loadSize{controllers: 3, workers: 240, zones: []string{"a", "b", "c"}, reportS: 1, leaseS: 20, cancelS: 40,
 	quota: config.Quota{CoreShare: 1, MemMB: 200, Sockets: 330}, writeRPS: 100, teamLimit: 400}
 
-// TestUsersAreAnsweredAfterWorkersGatheredAtOneController guards against a controller that refuses
-// users without end because faults of its peers, now over, have left it with all workers.
+// TestUsersAreAnsweredAfterWorkersGatheredAtOneController guards against refusing users for workers.
 func TestUsersAreAnsweredAfterWorkersGatheredAtOneController(t *testing.T) {
 	const users = 60
 	l := startLoadCluster(t, gatheringLoad)
--- a/internal/controller/process_load_test.go
+++ b/internal/controller/process_load_test.go
@@ -30,8 +30,7 @@
 	}
 }
 
-// TestPollsRefusedByAvailableControllerAreAViolation guards against a controller that refuses every
-// poll for as long as users forgive without anybody being told.
+// TestPollsRefusedByAvailableControllerAreAViolation guards against refusals that nobody is told of.
 func TestPollsRefusedByAvailableControllerAreAViolation(t *testing.T) {
 	c, log := servingController()
 	var load ProcessLoad
@@ -53,8 +52,7 @@
 	require.Equal(t, uint64(1), c.metrics.counts[countInvariantViolations], "an answer ends the spell")
 }
 
-// TestPollsRefusedWhileUnavailableAreNoViolation guards against errors in the log for what an outage
-// of the state store explains.
+// TestPollsRefusedWhileUnavailableAreNoViolation guards against an error for each store outage.
 func TestPollsRefusedWhileUnavailableAreNoViolation(t *testing.T) {
 	c, log := servingController()
 	var load ProcessLoad
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -31,8 +31,7 @@
 	})
 }
 
-// TestUsersAlwaysGetAPartOfTheConnections guards against users who are refused without end because
-// workers hold most connections, and against users who take the last connections from workers.
+// TestUsersAlwaysGetAPartOfTheConnections guards against users and workers starving each other.
 func TestUsersAlwaysGetAPartOfTheConnections(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var settings config.Settings
--- a/internal/statestore/queue_test.go
+++ b/internal/statestore/queue_test.go
@@ -62,8 +62,7 @@
 	require.True(t, q.takeTokens(now.Add(time.Second), 12))
 }
 
-// TestReadsDoNotWaitForWrites guards against polls that go unanswered because the reads that they
-// need wait behind transactions for which there are no write tokens.
+// TestReadsDoNotWaitForWrites guards against reads that wait behind transactions without tokens.
 func TestReadsDoNotWaitForWrites(t *testing.T) {
 	q := newQueue(100, 10)
 	now := time.Now().Add(time.Minute)
