--- a/cmd/lilacrill/workers_gather_test.go
+++ b/cmd/lilacrill/workers_gather_test.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,9 +52,21 @@
 	}
 	require.Equal(t, users, l.history.AnsweredSince(over, jobs), "jobs about which a question was answered within %v", answerLimit)
 	l.stop()
+	l.requireNoViolations(t)
 }
 
 // awaitWorkersAt waits until a controller has answered the latest heartbeat of every worker.
 func (l *loadCluster) awaitWorkersAt(controller int) {
 	require.Eventually(l.tb, func() bool { return l.workers.CountAt(controller) == l.size.workers }, testTimeout, 100*time.Millisecond)
 }
+
+// requireNoViolations requires that no controller has logged the violation of an invariant.
+func (l *loadCluster) requireNoViolations(t testing.TB) {
+	for i := range l.size.controllers {
+		text, err := os.ReadFile(filepath.Join(l.outDir, fmt.Sprintf("node-%d.log", i)))
+		require.NoError(t, err)
+		for line := range strings.Lines(string(text)) {
+			require.NotContains(t, line, "invariant violated", "controller %d", i)
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -118,7 +118,8 @@
 // limitUserRequests keeps users from crowding out workers and health checks. While there are
 // many connections, the connection of a user is closed after the response. For the next request
 // the user opens another connection, possibly to a controller with fewer connections. While
-// there are even more connections, or too many user requests in progress, users are refused.
+// there are even more connections, users may hold only a part of those that are free. Users are
+// refused above that part, and if too many of their requests are in progress.
 func (s *Server) limitUserRequests(c fiber.Ctx) error {
 	connections := s.openConnections()
 	if connections > s.budget.CloseAfterReplyAbove {
@@ -127,7 +128,7 @@
 	inProgress := s.userRequests.Add(1)
 	defer s.userRequests.Add(-1)
 	switch {
-	case connections > s.budget.RefuseUsersAbove:
+	case int(inProgress) > s.budget.UserRequestLimit(connections, int(inProgress)):
 		s.countRefusal(c, controller.RefusedForConnections)
 	case inProgress > s.maxUserRequests:
 		s.countRefusal(c, controller.RefusedForRequests)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -17,9 +17,9 @@
 	// Inbound is for connections from users, workers and health checks.
 	Inbound int
 	// With more than CloseAfterReplyAbove inbound connections, users' connections are closed
-	// after each reply. With more than RefuseUsersAbove, requests of users are refused with a
-	// time to retry, so that the remaining connections are left for workers and health checks.
-	CloseAfterReplyAbove, RefuseUsersAbove int
+	// after each reply. With more than LimitUsersAbove, users may hold only a part of the
+	// connections that workers and health checks leave (see UserRequestLimit).
+	CloseAfterReplyAbove, LimitUsersAbove int
 	// Workers is for calls to workers.
 	Workers int
 	// Peers is for connections from peers.
@@ -39,7 +39,10 @@
 	connectionsPerPeer      = 3    // a peer that restarts may leave stale connections open
 	reservedSockets         = 4    // for the listeners and the runtime
 	closeAfterReplyFraction = 0.6  // of Budget.Inbound
-	refuseUsersFraction     = 0.85 // of Budget.Inbound
+	limitUsersFraction      = 0.85 // of Budget.Inbound
+	// userDivisor is the part of the free connections that users may hold above
+	// Budget.LimitUsersAbove: 1/userDivisor.
+	userDivisor = 2
 )
 
 // NewBudget divides the sockets in a controller's quota.
@@ -53,10 +56,22 @@
 	}
 	budget.Inbound = max(minInboundSockets, total-budget.Workers-budget.Peers-peers-budget.State-budget.Cloud-reservedSockets)
 	budget.CloseAfterReplyAbove = int(closeAfterReplyFraction * float64(budget.Inbound))
-	budget.RefuseUsersAbove = int(refuseUsersFraction * float64(budget.Inbound))
+	budget.LimitUsersAbove = int(limitUsersFraction * float64(budget.Inbound))
 	return budget
 }
 
+// UserRequestLimit returns how many requests of users may be in progress while the given number of
+// inbound connections is open, inProgress of them with such a request. The limit applies above
+// LimitUsersAbove connections. It is at least 1, since a connection that is open already costs
+// nothing more if its request is answered than if it is refused.
+func (b *Budget) UserRequestLimit(connections, inProgress int) int {
+	if connections <= b.LimitUsersAbove {
+		return b.Inbound
+	}
+	free := b.Inbound - (connections - inProgress)
+	return max(1, free/userDivisor)
+}
+
 // NewRetryingListener returns a listener that retries when accepting a connection fails, as it does
 // while the process is briefly out of sockets. Otherwise the server would stop, and the whole process
 // with it.
