Log why silent machines with tasks are kept

The log says why a machine was terminated, but not why a silent one was not, so these could not be told apart: it is not probed; it is probed, but its termination is withheld (isolation, zone, limit); it is terminated, but its tasks are not placed. The leader for scaling now logs, at most every 10 s, how many silent machines with tasks it keeps for which reason, and what it goes by for the one that is silent the longest.

No change of behaviour. The code about silence moves from scale_in.go to a file of its own.

--- a/internal/controller/admin_views.go
+++ b/internal/controller/admin_views.go
@@ -125,7 +125,7 @@
 		Zone:              machine.zone,
 		Spot:              machine.spot,
 		Status:            machine.scaling.status,
-		SilentS:           c.now.Sub(c.lastSeen(machine)).Seconds(),
+		SilentS:           c.silence(machine).Seconds(),
 		Faulty:            !c.isDue(machine.quarantine.faultyUntil),
 		Reserved:          machine.scaling.holdsHeadroom,
 		ProvisioningLate:  machine.isProvisioning() && machine.scaling.status == wire.MachineBooting && !c.expectedToJoin(machine),
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -194,7 +194,7 @@
 // appeared in the cloud's list for forgetMachineAfter.
 func (c *Controller) isGone(machine *machine) bool {
 	return machine.scaling.terminated ||
-		c.now.Sub(c.lastSeen(machine)) > forgetMachineAfter && c.now.Sub(machine.scaling.lastListedAt) > forgetMachineAfter
+		c.silence(machine) > forgetMachineAfter && c.now.Sub(machine.scaling.lastListedAt) > forgetMachineAfter
 }
 
 // forgetUnused drops a machine that is gone and has no allocations. A terminated machine is
@@ -211,7 +211,7 @@
 		c.fleet.machinesUp++
 	}
 	review.pendingCleanups = max(review.pendingCleanups, len(machine.reconciliation.pendingCleanup))
-	quiet := c.now.Sub(c.lastSeen(machine))
+	quiet := c.silence(machine)
 	if machine.latestHeartbeat != nil && quiet < forgetMachineAfter {
 		review.reporting++
 		if machine.unreachable() {
--- a/internal/controller/provisioner.go
+++ b/internal/controller/provisioner.go
@@ -43,6 +43,7 @@
 	recordingTerminations bool                      // the terminations record is being written
 	nextTerminationRecord Time
 	nextMachineReview     Time
+	nextRetainedLog       Time
 }
 
 func (p *provisioner) init() {
--- a/internal/controller/scale_in.go
+++ b/internal/controller/scale_in.go
@@ -30,18 +30,6 @@
 	// probeGracePeriod is added to the time after which a machine should have been probed, or
 	// should have sent a heartbeat.
 	probeGracePeriod = 2 * time.Second
-	// minUnansweredProbes is how many consecutive probes a silent machine must leave
-	// unanswered before it is terminated.
-	minUnansweredProbes = 2
-	// minPartitionedMachines is how many machines of a partitioned zone must be silent for
-	// those with critical tasks to be given more time.
-	minPartitionedMachines = 5
-	// partitionToleranceLeases is how long machines with accelerators in a partitioned zone
-	// may be silent before they are terminated, in leases of their workers (lease_s).
-	partitionToleranceLeases = 3
-	// allReportedFactor times the heartbeat interval (report_s) is the time after which every
-	// healthy machine has sent a heartbeat.
-	allReportedFactor = 1.3
 )
 
 // terminationReview summarizes the liveness of the whole fleet, as a basis for the decision
@@ -53,6 +41,7 @@
 	// isolationPossible is set if this controller, and not the silent machines, may be cut
 	// off.
 	isolationPossible bool
+	retained          retainedMachines
 }
 
 // zoneReview summarizes the liveness of the machines in one zone.
@@ -88,6 +77,7 @@
 			c.markForTermination(machine, reason)
 		}
 	}
+	c.logRetainedMachines(&review.retained)
 }
 
 // isUnrecordedTermination reports whether a machine is terminated and still has allocations,
@@ -102,7 +92,7 @@
 // of partitioned zones.
 func (c *Controller) reviewZones() *terminationReview {
 	silence := config.Seconds(c.operator.values.UnresponsiveS)
-	review := &terminationReview{zones: map[string]*zoneReview{}}
+	review := &terminationReview{zones: map[string]*zoneReview{}, retained: retainedMachines{count: map[retentionReason]int{}}}
 	for id, machine := range c.fleet.machines {
 		// A machine that is being terminated stops sending heartbeats, which is no sign of a
 		// network fault.
@@ -117,7 +107,7 @@
 		// have probed it long ago. If machines counted that had no heartbeat to send yet, a
 		// partitioned zone would never be detected, and no machine would be terminated while
 		// messages of a single peer are missing.
-		switch quiet := c.now.Sub(c.lastSeen(machine)); {
+		switch quiet := c.silence(machine); {
 		case quiet <= silence/2:
 			zone.responsive++
 		case machine.liveness.unansweredProbes > 0 || quiet > c.heartbeatTimeout(machine)+probeGracePeriod:
@@ -170,6 +160,7 @@
 		if c.admitSilentTermination(machine, review) {
 			return reasonSilent
 		}
+		review.retained.add(machine, retainedByLimit, c.silence(machine))
 	case c.unreachableTooLong(machine) && !review.isolationPossible:
 		if c.admitSilentTermination(machine, review) {
 			return reasonUnreachable
@@ -180,18 +171,6 @@
 	return ""
 }
 
-// silentTooLong reports whether a machine has been silent for so long that it is terminated.
-func (c *Controller) silentTooLong(machine *machine, review *terminationReview) bool {
-	quiet := c.now.Sub(c.lastSeen(machine))
-	tolerance := c.silenceTolerance(machine)
-	if quiet <= tolerance || review.isolationPossible {
-		return false
-	}
-	unresponsive := machine.liveness.unansweredProbes >= minUnansweredProbes || c.hadTimeToReport(machine, quiet)
-	relevant := len(machine.allocations) > 0 || c.now.Sub(machine.scaling.lastListedAt) < forgetMachineAfter
-	return unresponsive && !c.zoneMayBePartitioned(machine, review.zone(machine.zone).lastHeartbeatAt, quiet-tolerance) && relevant
-}
-
 // unreachableTooLong reports whether the heartbeats of a machine arrive, but it has answered
 // no calls for more than half a lease. Such a machine receives no responses to its heartbeats
 // either, so its lease runs out although it looks alive.
@@ -220,15 +199,6 @@
 	return idle > limit && (len(c.provisioner.unmetDemands) == 0 || c.abovePriceLimit(machine) || idle > 2*limit)
 }
 
-// hadTimeToReport reports whether a machine that is known only from the records has had time
-// to appear in the machine list, or to send a heartbeat to any controller. Without this
-// check, a provisioner that has just started could terminate dozens of machines before it has
-// read the list, while their workers are about to send heartbeats.
-func (c *Controller) hadTimeToReport(machine *machine, quiet time.Duration) bool {
-	return machine.addr == "" && c.provisioner.listsSinceElected > 0 &&
-		quiet > c.maxHeartbeatInterval()+heartbeatSlack
-}
-
 // holdsCompletedTasks reports whether a machine has held tasks of completed jobs for longer
 // than tolerance.
 func (c *Controller) holdsCompletedTasks(id wire.MachineID, tolerance time.Duration) bool {
@@ -246,52 +216,6 @@
 	return config.Seconds(fraction * c.settings.Cluster.Workers.CancelS)
 }
 
-// silenceTolerance returns how long a machine may be silent before it is terminated. A
-// machine that hangs often recovers after a while. Unless urgent tasks run on it, waiting
-// costs less than restarting its tasks on a machine that has yet to be provisioned.
-func (c *Controller) silenceTolerance(machine *machine) time.Duration {
-	silence := config.Seconds(c.operator.values.UnresponsiveS)
-	workers := &c.settings.Cluster.Workers
-	if hasTasksOfPriority(machine, wire.PriorityCritical) {
-		if c.provisioner.partitions.silentMachines(machine.zone) >= minPartitionedMachines {
-			// Tasks in a partitioned zone continue to run until the leases of their workers
-			// run out. Until then none of them is lost unless its machine is terminated.
-			return max(silence, config.Seconds(workers.LeaseS-heartbeatIntervalFactor*workers.ReportS))
-		}
-		return silence
-	}
-	if machineType := c.machineTypeNamed(machine.machineType); machineType != nil && machineType.Accelerators > 0 {
-		if c.isPartitioned(machine.zone) {
-			// Machines with accelerators are the scarcest and cannot be replaced in a
-			// partitioned zone. Once the partition ends, they are available again with their
-			// images.
-			return partitionToleranceLeases * config.Seconds(workers.LeaseS)
-		}
-		// Until every machine of the zone should have sent a heartbeat, the zone may be
-		// partitioned without having been detected as such.
-		silence += config.Seconds(allReportedFactor * workers.ReportS)
-	}
-	if hasTasksOfPriority(machine, wire.PriorityHigh) {
-		return silence
-	}
-	return max(silence, 2*config.Seconds(workers.ReportS))
-}
-
-// hasTasksOfPriority reports whether tasks of a priority are placed on a machine.
-func hasTasksOfPriority(machine *machine, priority wire.Priority) bool {
-	return slices.ContainsFunc(machine.allocations, func(allocation *Allocation) bool { return allocation.Priority == priority.Level() })
-}
-
-// zoneMayBePartitioned reports whether a silent machine's zone may be partitioned: no machine
-// of the zone has sent a heartbeat since this machine first left a call unanswered, and the
-// others may not have been due to send one. Where few machines of a zone are probed early, a
-// partition is detected only once the heartbeats of the others are overdue. Without this
-// check, the machines probed first would be terminated before that.
-func (c *Controller) zoneMayBePartitioned(machine *machine, lastZoneHeartbeatAt Time, overdue time.Duration) bool {
-	othersReport := config.Seconds(allReportedFactor*c.settings.Cluster.Workers.ReportS) + probeGracePeriod
-	return machine.liveness.unansweredCalls > 0 && lastZoneHeartbeatAt <= machine.liveness.unreachableSince && overdue < othersReport
-}
-
 // receivesFromAllPeers reports whether messages from all other live controllers arrive. It is
 // false if there are no others.
 func (c *Controller) receivesFromAllPeers() bool {
@@ -306,16 +230,10 @@
 	return len(c.cache.liveControllers) > 1
 }
 
-// admitSilentTermination reports whether the limit on terminations of silent machines admits
-// one more, and counts it if so.
-func (c *Controller) admitSilentTermination(machine *machine, review *terminationReview) bool {
-	return c.provisioner.silentTerminations.admit(review.reporting, machine.hasCriticalTasks(), c.now)
-}
-
 // markForTermination marks a machine for termination. recordTerminations records all marked
 // machines together.
 func (c *Controller) markForTermination(machine *machine, reason string) {
 	c.provisioner.toTerminate[machine.id] = reason
 	c.log.Info("machine marked for termination", "machine_id", machine.id, "reason", reason,
-		"silent_for", c.now.Sub(c.lastSeen(machine)), "unanswered_calls", machine.liveness.unansweredCalls)
+		"silent_for", c.silence(machine), "unanswered_calls", machine.liveness.unansweredCalls)
 }
