TestStalledControllerDuringActivation waits until the stalled controller's lease is over

The test took 9 s after the stall for the end of a lease of 5 s.

The test now runs on until the liveness record is gone, for 10 s more at most, still within the stall, and then requires the same as before.

--- a/internal/simulation/rollout_helpers_test.go
+++ b/internal/simulation/rollout_helpers_test.go
@@ -44,6 +44,21 @@
 	return reply
 }
 
+// runUntilLeaseExpired runs the cluster until the liveness record of a stalled controller is gone.
+// Renewals that the network executes late keep its lease for longer than its TTL after the stall. The
+// test fails if that takes longer than limit.
+func (c *Cluster) runUntilLeaseExpired(t *testing.T, i int, limit time.Duration) {
+	t.Helper()
+	end := c.now.Add(limit)
+	for {
+		if _, _, live := c.store.Get(record.LivenessKey(controllerLabel(i))); !live {
+			return
+		}
+		require.Less(t, c.now, end, "the lease of %s has not expired", controllerLabel(i))
+		c.Run(checkInterval)
+	}
+}
+
 // compressedActivation returns the change that activates the compressed format, based on the
 // current version of the rollout record.
 func (c *Cluster) compressedActivation() wire.AdminRolloutChange {
--- a/internal/simulation/rollout_test.go
+++ b/internal/simulation/rollout_test.go
@@ -86,7 +86,8 @@
 		cluster.Run(5 * time.Second)
 		cluster.Stall(2, 25*time.Second)
 		cluster.DelayedCommits, cluster.MessageLoss = 0, 0
-		cluster.Run(9 * time.Second) // until its lease has expired
+		cluster.Run(9 * time.Second)
+		cluster.runUntilLeaseExpired(t, 2, 10*time.Second)
 		cluster.requireRolloutChange(t, 0, wire.AdminRolloutChange{Version: cluster.rolloutVersion(), Exclude: "rig-2", Reason: "hangs"}, http.StatusOK)
 		cluster.requireRolloutChange(t, 0, cluster.compressedActivation(), http.StatusOK)
 		cluster.Run(20 * time.Second)
