A machine that has joined is probed whatever the machine list says of it

The job is reported as running, but its task waits for ever, though machines have room.

Cause: the failure detector went by the status in the cloud's list, which lags and may be older than the list before it. To it a machine listed as booting, or rented and not listed yet, had no worker to ask, although that worker had sent heartbeats and runs tasks. Once the machine has left the lists, nothing changes the status any more. Without probes it leaves none unanswered, so it is never terminated, and its tasks, which leave the record only on proof, stay there.

Fix: what is known first-hand overrules the list. A machine's status only advances, from booting to running to failed: a heartbeat advances it to running, an older list or the answer to the rental request does not set it back. A machine with tasks in the records counts as joined as well, since tasks are placed only after a heartbeat; a controller that has just started knows no more than that. Its tasks are placed elsewhere as before: after probes, once the cloud has confirmed the termination.

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -241,9 +241,10 @@
 }
 
 // probeDue reports whether to probe a machine that has sent no heartbeat for the time quiet.
-// A machine that left a call unanswered is probed even if its heartbeats continue.
+// A machine that left a call unanswered is probed even if its heartbeats continue. A machine that
+// has not joined yet has no worker to answer.
 func (c *Controller) probeDue(machine *machine, quiet time.Duration) bool {
-	if machine.addr == "" || machine.scaling.status == wire.MachineBooting || !machine.liveness.probeAllowed(c.now) {
+	if machine.addr == "" || !machine.hasJoined() || !machine.liveness.probeAllowed(c.now) {
 		return false
 	}
 	return machine.liveness.unansweredCalls > 0 || quiet > c.heartbeatTimeout(machine) && c.shouldProbe(machine, quiet)
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -95,6 +95,7 @@
 func (m *machine) setLatestHeartbeat(heartbeat *wire.Heartbeat, now Time) {
 	m.latestHeartbeat, m.tasks = heartbeat, tasksByAttempt(heartbeat)
 	m.liveness.noteHeartbeat(now)
+	m.scaling.advanceStatus(wire.MachineRunning)
 	m.addr, m.machineType, m.zone, m.spot = heartbeat.Addr, heartbeat.Type, heartbeat.Zone, heartbeat.Spot
 }
 
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"lilacrill/internal/placement"
@@ -80,10 +81,10 @@
 
 // scaling is the life cycle of a machine in the cloud, from its launch to its termination.
 type scaling struct {
-	status              wire.MachineStatus
-	lastListedAt        Time // when the cloud's list last contained the machine
-	launchedAt          Time // when the machine was launched, as far as known
-	preemptionAt        Time // when the cloud reclaims the machine, by the preemption notice in the latest heartbeat; 0 if none
+	status              wire.MachineStatus // the latest in machineLifecycle that is known; "" if none is
+	lastListedAt        Time               // when the cloud's list last contained the machine
+	launchedAt          Time               // when the machine was launched, as far as known
+	preemptionAt        Time               // when the cloud reclaims the machine, by the preemption notice in the latest heartbeat; 0 if none
 	idleSince           Time
 	holdsHeadroom       bool
 	terminated          bool // the cloud confirmed its termination
@@ -91,6 +92,18 @@
 	terminationLiftedAt Time // when the machine left the list of pending terminations; it counts as terminated unless a heartbeat arrived since
 }
 
+// machineLifecycle lists the statuses of a machine in the order in which it goes through them.
+var machineLifecycle = []wire.MachineStatus{wire.MachineBooting, wire.MachineRunning, wire.MachineFailed}
+
+// advanceStatus records a status of the machine, unless a later one is known. A machine list lags
+// behind the machines and behind the list before it, so it may tell of an earlier status than a
+// heartbeat or another list did.
+func (s *scaling) advanceStatus(status wire.MachineStatus) {
+	if slices.Index(machineLifecycle, status) > slices.Index(machineLifecycle, s.status) {
+		s.status = status
+	}
+}
+
 // imageCache tracks the images that a machine has.
 type imageCache struct {
 	lastUsed map[string]Time // images on the machine, and when each was last seen in use
@@ -145,6 +158,13 @@
 	return count
 }
 
+// hasJoined reports whether the worker of a machine is known to have been up at some time: by its
+// status, which heartbeats and the cloud's list advance, or by the records, since tasks are placed
+// only on machines from which a controller has received a heartbeat.
+func (m *machine) hasJoined() bool {
+	return m.scaling.status != wire.MachineBooting || len(m.allocations) > 0
+}
+
 // isReconciled reports whether no command follows from the latest heartbeat.
 func (m *machine) isReconciled() bool {
 	return m.reconciliation.reconciledHeartbeat == m.latestHeartbeat
--- a/internal/controller/provisioner.go
+++ b/internal/controller/provisioner.go
@@ -250,7 +250,8 @@
 }
 
 // applyMachineList applies the cloud's machine list. The list lags behind, so a machine that
-// is absent from it may exist nonetheless.
+// is absent from it may exist nonetheless, and one that it contains may be gone. What the
+// machine's worker has reported overrules the list.
 func (c *Controller) applyMachineList(list []wire.CloudMachine) {
 	for _, listed := range list {
 		machine := c.machine(listed.ID)
@@ -258,7 +259,7 @@
 			machine.addr, machine.machineType, machine.zone, machine.spot = listed.Addr, listed.Type, listed.Zone, listed.Spot
 		}
 		machine.scaling.lastListedAt = c.now
-		machine.scaling.status = listed.Status
+		machine.scaling.advanceStatus(listed.Status)
 		if launched := c.now.Add(-config.Seconds(listed.AgeS)); machine.scaling.launchedAt == 0 || launched < machine.scaling.launchedAt {
 			machine.scaling.launchedAt = launched
 		}
--- a/internal/controller/scale_out.go
+++ b/internal/controller/scale_out.go
@@ -211,8 +211,9 @@
 	for _, id := range machines {
 		machine := c.machine(id)
 		if machine.latestHeartbeat == nil {
-			machine.machineType, machine.zone, machine.spot, machine.scaling.status = request.Type, request.Zone, request.Spot, wire.MachineBooting
+			machine.machineType, machine.zone, machine.spot = request.Type, request.Zone, request.Spot
 		}
+		machine.scaling.advanceStatus(wire.MachineBooting)
 		machine.scaling.launchedAt, machine.scaling.lastListedAt = c.now, c.now
 	}
 }
--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -32,7 +32,7 @@
 		})
 	case controller.ListMachines:
 		c.callCloud(newCall(process, o.Call), controller.MachinesResult{Outcome: controller.NotExecuted}, func() controller.Result {
-			return controller.MachinesResult{Machines: c.randomListing()}
+			return controller.MachinesResult{Machines: c.alterListing(c.randomListing())}
 		})
 	case controller.ProvisionMachines:
 		c.callCloud(newCall(process, o.Call), controller.ProvisionResult{Outcome: controller.Unknown}, func() controller.Result {
@@ -124,8 +124,7 @@
 	for _, id := range ids {
 		if machine := c.machinesByID[id]; machine != nil {
 			c.countIfShardMoving(machineTerminatedInMovingShard, id)
-			machine.terminate()
-			machine.up = false
+			machine.reclaim()
 		}
 	}
 	return controller.TerminateResult{}
@@ -146,6 +145,20 @@
 	return c.machineListings[c.rng.IntN(recent)+len(c.machineListings)-recent]
 }
 
+// alterListing returns a machine list with the statuses of ListedStatus, if that is set.
+func (c *Cluster) alterListing(list []wire.CloudMachine) []wire.CloudMachine {
+	if c.ListedStatus == nil {
+		return list
+	}
+	var altered []wire.CloudMachine
+	for _, listed := range list {
+		if listed.Status = c.ListedStatus(listed); listed.Status != "" {
+			altered = append(altered, listed)
+		}
+	}
+	return altered
+}
+
 // listMachines returns the current machine list of the cloud, without lag.
 func (c *Cluster) listMachines() []wire.CloudMachine {
 	var list []wire.CloudMachine
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"lilacrill/wire"
 )
 
 // Faults are the faults that a cluster injects until a test resets them. A rate is the
@@ -73,6 +75,9 @@
 	// ProvisioningDelay, if set, returns the time from the provisioning of a machine until
 	// its worker joins. Otherwise the time is random.
 	ProvisioningDelay func(machineType, zone string) time.Duration
+	// ListedStatus, if set, returns the status with which the cloud lists a machine, or "" to
+	// leave it out of the list. Otherwise the lists are up to recentListings seconds old.
+	ListedStatus func(wire.CloudMachine) wire.MachineStatus
 
 	// FaultsOverAt is the time at which the last fault ended, or 0 while more faults may
 	// follow. Rules that limit how long something may take apply from then on.
--- a/internal/simulation/machines.go
+++ b/internal/simulation/machines.go
@@ -132,6 +132,13 @@
 	}
 }
 
+// reclaim ends the machine because the cloud takes it back. Unlike a machine that died, it leaves
+// the cloud's list, though older lists still show it.
+func (m *fakeMachine) reclaim() {
+	m.terminate()
+	m.up = false
+}
+
 // heartbeatLoop sends heartbeats about one HeartbeatInterval apart until the machine is
 // terminated.
 func (m *fakeMachine) heartbeatLoop() {
