A machine with tasks is probed however long it has been gone

What callers would see: a machine dies while no leader for scaling can record that, for instance in an outage of the state store; more than two minutes later another controller becomes the leader. The tasks of that machine wait for ever, though machines have room.

Without two unanswered probes of its own the new leader does not terminate it. The reason to leave it out is knowledge of the fleet (does it count as up), which says nothing about whether its tasks may leave the records.

Fix: as long as the records have tasks on a machine, it is probed. It still does not count as up, on which it hangs whether a controller that hears no worker takes itself for isolated.

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -179,9 +179,10 @@
 	for _, machine := range c.orderedMachines() {
 		if c.isGone(machine) {
 			c.forgetUnused(machine)
-			continue
+		} else {
+			c.reviewLiveness(machine, &review)
 		}
-		c.reviewLiveness(machine, &review)
+		c.reviewProbe(machine, &review)
 	}
 	c.probeMachines(review.due)
 	c.fleet.outboundSuspect = review.outboundSuspect()
@@ -191,7 +192,7 @@
 }
 
 // isGone reports whether a machine was terminated, or has neither sent a heartbeat nor
-// appeared in the cloud's list for forgetMachineAfter.
+// appeared in the cloud's list for forgetMachineAfter. Such a machine no longer counts as up.
 func (c *Controller) isGone(machine *machine) bool {
 	return machine.scaling.terminated ||
 		c.silence(machine) > forgetMachineAfter && c.now.Sub(machine.scaling.lastListedAt) > forgetMachineAfter
@@ -205,7 +206,8 @@
 	}
 }
 
-// reviewLiveness reviews one machine that is not gone and adds the findings to review.
+// reviewLiveness reviews one machine that is not gone, apart from probes, and adds the findings to
+// review.
 func (c *Controller) reviewLiveness(machine *machine, review *fleetReview) {
 	if !machine.isTerminated() && (machine.latestHeartbeat != nil || machine.scaling.status == wire.MachineRunning) {
 		c.fleet.machinesUp++
@@ -221,10 +223,16 @@
 	if !machine.isReconciled() && c.isDue(machine.reconciliation.nextSend) && quiet < c.heartbeatTimeout(machine) {
 		c.retryLaunches(machine)
 	}
-	if machine.isTerminated() && len(machine.allocations) == 0 {
+}
+
+// reviewProbe adds a machine to review if it is to be probed. As long as the records have tasks on a
+// machine, it is probed however long it has been gone, because the tasks wait for the proof that it
+// does not respond, and another controller may become the provisioner at any time.
+func (c *Controller) reviewProbe(machine *machine, review *fleetReview) {
+	if machine.scaling.terminated || len(machine.allocations) == 0 && (machine.isTerminated() || c.isGone(machine)) {
 		return
 	}
-	if c.probeDue(machine, quiet) {
+	if c.probeDue(machine, c.silence(machine)) {
 		review.due = append(review.due, machine)
 	}
 }
--- a/internal/simulation/reclaimed_machine_test.go
+++ b/internal/simulation/reclaimed_machine_test.go
@@ -193,3 +193,33 @@
 		require.NotContains(t, record, string(spot.id), "seed %d: the reclaimed machine is still in a record", seed)
 	}
 }
+
+// TestTasksOnLongGoneMachineAreReplaced guards against tasks that wait for ever because their machine
+// had been silent for so long, when another controller became the provisioner, that it did not probe it.
+func TestTasksOnLongGoneMachineAreReplaced(t *testing.T) {
+	const outage = 150 * time.Second // no provisioner can record a termination
+	for seed := range uint64(3) {
+		settings := testSettings()
+		settings.Cluster.Teams[1].CPUsMax = 48
+		cluster := clusterSetup{settings: settings, machines: 12, controllers: 3, seed: seed}.start()
+		spec, _ := testJob(1, 0)
+		spec.Tasks = 24
+		cluster.At(2*time.Second, func() { cluster.Submit(spec, time.Hour) })
+		cluster.Run(20 * time.Second)
+		cluster.injectStoreOutage(outage)
+		cluster.At(time.Second, func() {
+			for _, machine := range cluster.machines[:3] {
+				machine.reclaim()
+			}
+		})
+		cluster.Run(outage - 5*time.Second)
+		provisioner := cluster.provisioner()
+		cluster.restart(provisioner, 20*time.Second)
+		cluster.Run(25 * time.Second)
+		require.NotEqual(t, provisioner, cluster.provisioner(), "seed %d: another controller has to become the provisioner", seed)
+		cluster.FaultsOverAt = cluster.Now()
+		cluster.Run(maxStarvation)
+		require.Len(t, cluster.jobs[spec.ID].active(), spec.Tasks, "seed %d: tasks of the machines that are gone", seed)
+		require.Empty(t, cluster.Violations, "seed %d", seed)
+	}
+}
