--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -111,6 +111,7 @@
 	}
 	c.machines = append(c.machines, machine)
 	c.machinesByID[machine.id] = machine
+	machine.setAddr(string(machine.id))
 	c.after(delay, func() {
 		if !machine.terminated {
 			machine.up, machine.leaseRenewedAt = true, c.now
@@ -166,7 +167,7 @@
 		if machine.terminated && (!machine.up || c.now-machine.terminatedAt > controller.Time(terminatedListingTime)) {
 			continue
 		}
-		listed := wire.CloudMachine{ID: machine.id, Addr: string(machine.id), Type: machine.machineType.Name, Zone: machine.zone, Spot: machine.spot,
+		listed := wire.CloudMachine{ID: machine.id, Addr: machine.addr, Type: machine.machineType.Name, Zone: machine.zone, Spot: machine.spot,
 			Status: wire.MachineBooting, AgeS: c.now.Sub(machine.provisionedAt).Seconds()}
 		if machine.up {
 			listed.Status = wire.MachineRunning
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -62,7 +62,9 @@
 	controllers  []*controllerProcess
 	machines     []*fakeMachine
 	machinesByID map[wire.MachineID]*fakeMachine
-	machineTypes []wire.MachineType
+	// machinesByAddr holds the last machine that got each address.
+	machinesByAddr map[string]*fakeMachine
+	machineTypes   []wire.MachineType
 	// provisionedByRequest holds the machines of each provisioning request by the name of
 	// the request. A repeated request returns the same machines.
 	provisionedByRequest map[string][]wire.MachineID
@@ -103,6 +105,7 @@
 		rng:                  rand.New(rand.NewPCG(seed, rngStream)),
 		store:                NewStore(),
 		machinesByID:         map[wire.MachineID]*fakeMachine{},
+		machinesByAddr:       map[string]*fakeMachine{},
 		machineTypes:         types,
 		provisionedByRequest: map[string][]wire.MachineID{},
 		jobs:                 map[wire.JobID]*submittedJob{},
--- a/internal/simulation/machines.go
+++ b/internal/simulation/machines.go
@@ -21,6 +21,7 @@
 type fakeMachine struct {
 	cluster       *Cluster
 	id            wire.MachineID
+	addr          string
 	machineType   wire.MachineType
 	zone          string
 	spot          bool
@@ -49,10 +50,16 @@
 	heartbeatsSent    int
 }
 
+// setAddr gives the machine an address, which may be that of a machine that is gone.
+func (m *fakeMachine) setAddr(addr string) {
+	m.addr = addr
+	m.cluster.machinesByAddr[addr] = m
+}
+
 // heartbeat returns the worker's next heartbeat.
 func (m *fakeMachine) heartbeat() *wire.Heartbeat {
 	m.sequence++
-	heartbeat := &wire.Heartbeat{Machine: m.id, Addr: string(m.id), Type: m.machineType.Name, Zone: m.zone, Spot: m.spot,
+	heartbeat := &wire.Heartbeat{Machine: m.id, Addr: m.addr, Type: m.machineType.Name, Zone: m.zone, Spot: m.spot,
 		AgentEpoch: m.agentEpoch, Sequence: m.sequence, Token: m.token}
 	if m.preemptionAt != 0 {
 		notice := m.preemptionAt.Sub(m.cluster.now).Seconds()
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -85,7 +85,7 @@
 		c.completeCall(call, d, response)
 	}
 	c.after(timeout, func() { finish(0, controller.WorkerResponse{Outcome: controller.Unknown}) })
-	machine := c.machinesByID[wire.MachineID(addr)]
+	machine := c.machinesByAddr[addr]
 	if machine == nil || !c.reachesWorker(process, machine) {
 		return
 	}
--- a/internal/simulation/reclaimed_machine_test.go
+++ b/internal/simulation/reclaimed_machine_test.go
@@ -189,8 +189,14 @@
 		require.Empty(t, cluster.Unfinished(), "seed %d", seed)
 	}
 	require.Empty(t, cluster.Violations, "seed %d", seed)
+	requireUnrecorded(t, cluster, spot)
+}
+
+// requireUnrecorded checks that a machine that is gone is in no record of the state store.
+func requireUnrecorded(t *testing.T, cluster *Cluster, machine *fakeMachine) {
+	t.Helper()
 	for _, record := range cluster.Records() {
-		require.NotContains(t, record, string(spot.id), "seed %d: the reclaimed machine is still in a record", seed)
+		require.NotContains(t, record, string(machine.id), "the machine is gone")
 	}
 }
 
@@ -223,3 +229,31 @@
 		require.Empty(t, cluster.Violations, "seed %d", seed)
 	}
 }
+
+// TestTasksAreReplacedAfterAddressIsReused guards against tasks that wait for ever because another
+// machine has got the address of theirs and answers the probes.
+func TestTasksAreReplacedAfterAddressIsReused(t *testing.T) {
+	for seed := range uint64(3) {
+		cluster := newCluster(seed, 3)
+		spec, _ := testJob(1, 1)
+		spec.Tasks = 3
+		cluster.At(2*time.Second, func() { cluster.Submit(spec, 0) })
+		cluster.Run(20 * time.Second)
+		active := cluster.jobs[spec.ID].active()
+		require.Len(t, active, spec.Tasks)
+		reclaimed := active[0].machine
+		reclaimed.reclaim()
+		cluster.Capacity = 0
+		cluster.AddMachine(machineTypes[0], reclaimed.zone, false, 0).setAddr(reclaimed.addr)
+		for n, zone := range zones { // keeps all machines busy, so that none is terminated as idle
+			other, _ := testJob(3+2*n, 1)
+			other.Tasks, other.Zone = 2, zone
+			cluster.Submit(other, 0)
+		}
+		cluster.FaultsOverAt = cluster.Now()
+		cluster.Run(maxStarvation)
+		require.Len(t, cluster.jobs[spec.ID].active(), spec.Tasks, "seed %d: replicas of the reclaimed machine", seed)
+		require.Empty(t, cluster.Violations, "seed %d", seed)
+		requireUnrecorded(t, cluster, reclaimed)
+	}
+}
