A machine that was just rented is not terminated before a list could show it

What callers would see: while messages between controllers are lost, tasks on a machine that is up within seconds are interrupted and start again elsewhere, since a healthy machine is terminated.

Cause, of the same class: the leader for scaling took it for evidence that the list does not show a machine, though the list lags by up to twice list_lag_s. Its worker's heartbeats reached only the controller that placed the tasks.

Fix: a machine of a known rental counts as absent only by a list that was requested more than the longest lag after the rental. Once it is listed, it is probed as any other. For machines that are known from the records only, after a restart, nothing changes.

--- a/internal/controller/provisioner.go
+++ b/internal/controller/provisioner.go
@@ -26,6 +26,7 @@
 	listInFlight      bool
 	nextList          Time
 	listsSinceElected int                                   // lists read since this controller became the leader
+	lastListAt        Time                                  // when the last list that was read was requested
 	gossipedStatus    map[wire.MachineID]wire.MachineStatus // as last sent to peers
 
 	// Scaling out.
@@ -207,6 +208,7 @@
 func (c *Controller) listMachines() {
 	c.provisioner.listInFlight = true
 	c.provisioner.nextList = c.now.Add(listInterval)
+	requestedAt := c.now
 	c.emit(ListMachines{registerCall(c, func(result MachinesResult) {
 		c.provisioner.listInFlight = false
 		c.metrics.countFailure(result.Outcome, countCloudRefused, countCloudUnanswered)
@@ -214,6 +216,7 @@
 			return
 		}
 		c.provisioner.listsSinceElected++
+		c.provisioner.lastListAt = requestedAt
 		c.applyMachineList(result.Machines)
 		// A list takes a call for every page, and provisioning needs calls as well. A longer
 		// list is therefore read less often.
--- a/internal/controller/silent_machines.go
+++ b/internal/controller/silent_machines.go
@@ -25,6 +25,9 @@
 	// allReportedFactor times the heartbeat interval (report_s) is the time after which every
 	// healthy machine has sent a heartbeat.
 	allReportedFactor = 1.3
+	// maxListLagFactor is the longest lag of a machine list as a multiple of the usual one
+	// (list_lag_s).
+	maxListLagFactor = 2
 	// retainedLogInterval is the shortest time between two log lines about silent machines that
 	// are kept.
 	retainedLogInterval = 10 * time.Second
@@ -112,13 +115,23 @@
 	return ""
 }
 
-// hadTimeToReport reports whether a machine that is known only from the records has had time
-// to appear in the machine list, or to send a heartbeat to any controller. Without this
+// hadTimeToReport reports whether a machine that cannot be probed, since its address is not known,
+// has had time to appear in the machine list, or to send a heartbeat to any controller. Without this
 // check, a provisioner that has just started could terminate dozens of machines before it has
 // read the list, while their workers are about to send heartbeats.
 func (c *Controller) hadTimeToReport(machine *machine, quiet time.Duration) bool {
-	return machine.addr == "" && c.provisioner.listsSinceElected > 0 &&
-		quiet > c.maxHeartbeatInterval()+heartbeatSlack
+	return machine.addr == "" && c.hadTimeToBeListed(machine) && quiet > c.maxHeartbeatInterval()+heartbeatSlack
+}
+
+// hadTimeToBeListed reports whether a list was read that should contain a machine, if it exists. The
+// heartbeats of a machine that this controller has provisioned may all reach another controller, whose
+// messages do not arrive, so until such a list nothing shows whether the machine is gone.
+func (c *Controller) hadTimeToBeListed(machine *machine) bool {
+	if machine.scaling.launchedAt == 0 {
+		return c.provisioner.listsSinceElected > 0
+	}
+	maxLag := config.Seconds(maxListLagFactor * c.settings.Cluster.Cloud.ListLagS)
+	return c.provisioner.lastListAt.Sub(machine.scaling.launchedAt) > maxLag
 }
 
 // silenceTolerance returns how long a machine may be silent before it is terminated. A
--- a/internal/simulation/reclaimed_machine_test.go
+++ b/internal/simulation/reclaimed_machine_test.go
@@ -257,3 +257,22 @@
 		requireUnrecorded(t, cluster, reclaimed)
 	}
 }
+
+// TestUnheardMachineIsKeptUntilListed guards against a provisioner that terminates a healthy machine
+// because the list does not show it yet and its heartbeats reach only a controller that is cut off from
+// the provisioner.
+func TestUnheardMachineIsKeptUntilListed(t *testing.T) {
+	listedLate := func(age time.Duration) wire.MachineStatus {
+		if age < 6*time.Second { // twice the usual lag of the tests' settings
+			return ""
+		}
+		return wire.MachineRunning
+	}
+	for seed := range uint64(3) {
+		cluster, spot := startReclaimTest(t, reclaimTest{listedStatus: listedLate, unheard: true}, seed)
+		cluster.Run(15 * time.Second)
+		require.False(t, spot.terminated, "seed %d: the machine was terminated", seed)
+		require.Len(t, cluster.jobs[reclaimedJob].active(), 1, "seed %d", seed)
+		require.Empty(t, cluster.Violations, "seed %d", seed)
+	}
+}
