A machine that has recovered is not terminated by an earlier decision

What callers would see: a machine hangs for some seconds and goes on during an outage of the state store; after the outage it is terminated, and its tasks, which have been running all the time, start again elsewhere.

Fix: a heartbeat that arrives after the decision overrules it if the reason was silence; so does an answered call if the machine was unreachable. A controller that is not the leader keeps no decisions.

--- a/internal/controller/provisioner.go
+++ b/internal/controller/provisioner.go
@@ -39,9 +39,9 @@
 	partitions            partitionDetector
 	silentTerminations    terminationLimiter
 	terminateCallInFlight bool
-	terminateRequested    map[wire.MachineID]bool   // machines whose termination was requested from the cloud
-	toTerminate           map[wire.MachineID]string // machines to be recorded as pending, and the reasons
-	recordingTerminations bool                      // the terminations record is being written
+	terminateRequested    map[wire.MachineID]bool            // machines whose termination was requested from the cloud
+	toTerminate           map[wire.MachineID]terminationMark // machines to be recorded as pending
+	recordingTerminations bool                               // the terminations record is being written
 	nextTerminationRecord Time
 	nextMachineReview     Time
 	nextRetainedLog       Time
@@ -51,7 +51,7 @@
 	p.shortages = capacityShortages{}
 	p.delays = provisioningDelays{}
 	p.partitions.zones = map[string]partition{}
-	p.toTerminate = map[wire.MachineID]string{}
+	p.toTerminate = map[wire.MachineID]terminationMark{}
 	p.terminateRequested = map[wire.MachineID]bool{}
 }
 
@@ -99,21 +99,9 @@
 	if c.provisioner.catalogueDue(c.now) {
 		c.readCatalogue()
 	}
-	if !c.cache.complete() || !c.storeReachable() {
-		return
-	}
-	if !c.isProvisioner() {
-		c.provisioner.listsSinceElected = 0
-		c.claimProvisionerLeadership()
+	if !c.readyToScale() {
 		return
 	}
-	if c.isolated() {
-		c.resignProvisionerLeadership()
-		return
-	}
-	if c.cache.stale {
-		return // another controller may have become the leader meanwhile
-	}
 	if !c.provisioner.listInFlight && c.isDue(c.provisioner.nextList) {
 		c.listMachines()
 	}
@@ -130,6 +118,25 @@
 	}
 }
 
+// readyToScale reports whether this controller is the leader for scaling and may act as such now. If
+// there is no leader it claims the leadership, and it resigns if it reaches no workers.
+func (c *Controller) readyToScale() bool {
+	if !c.cache.complete() || !c.storeReachable() {
+		return false
+	}
+	if !c.isProvisioner() {
+		c.provisioner.listsSinceElected = 0
+		clear(c.provisioner.toTerminate) // the next leader decides anew
+		c.claimProvisionerLeadership()
+		return false
+	}
+	if c.isolated() {
+		c.resignProvisionerLeadership()
+		return false
+	}
+	return !c.cache.stale // otherwise another controller may have become the leader meanwhile
+}
+
 // catalogueDue reports whether the catalogue is to be read.
 func (p *provisioner) catalogueDue(now Time) bool {
 	outdated := len(p.catalogue) == 0 || now.Sub(p.catalogueReadAt) > catalogueInterval
--- a/internal/controller/scale_in.go
+++ b/internal/controller/scale_in.go
@@ -64,7 +64,9 @@
 	review := c.reviewZones()
 	for _, machine := range c.orderedMachines() {
 		_, terminating := c.cache.terminating[machine.id]
-		terminating = terminating || c.provisioner.toTerminate[machine.id] != ""
+		if _, marked := c.provisioner.toTerminate[machine.id]; marked {
+			terminating = true
+		}
 		if c.isUnrecordedTermination(machine, terminating) {
 			c.markForTermination(machine, reasonAlreadyTerminated)
 			continue
@@ -233,7 +235,7 @@
 // markForTermination marks a machine for termination. recordTerminations records all marked
 // machines together.
 func (c *Controller) markForTermination(machine *machine, reason string) {
-	c.provisioner.toTerminate[machine.id] = reason
+	c.provisioner.toTerminate[machine.id] = terminationMark{reason, c.now}
 	c.log.Info("machine marked for termination", "machine_id", machine.id, "reason", reason,
 		"silent_for", c.silence(machine), "unanswered_calls", machine.liveness.unansweredCalls)
 }
--- a/internal/controller/terminations.go
+++ b/internal/controller/terminations.go
@@ -15,6 +15,33 @@
 //   - Once the cloud has confirmed the termination, the machine is recorded as confirmed for as
 //     long as there are allocations on it.
 
+// terminationMark is the decision to terminate a machine, until the termination is recorded.
+type terminationMark struct {
+	reason string
+	at     Time
+}
+
+// isOverruled reports whether the machine has recovered since it was marked. The state store may be
+// unreachable for a while before the termination can be recorded.
+func (m terminationMark) isOverruled(machine *machine) bool {
+	switch m.reason {
+	case reasonSilent, reasonNeverJoined:
+		return machine.liveness.lastHeartbeatAt > m.at
+	case reasonUnreachable:
+		return !machine.unreachable()
+	}
+	return false
+}
+
+// dropOverruledMarks removes the marks of machines that have recovered.
+func (c *Controller) dropOverruledMarks() {
+	for id, mark := range c.provisioner.toTerminate {
+		if machine := c.fleet.machines[id]; machine != nil && mark.isOverruled(machine) {
+			delete(c.provisioner.toTerminate, id)
+		}
+	}
+}
+
 // terminationsDraft is the next record of terminations, limited to the size of a value.
 type terminationsDraft struct {
 	terminations record.Terminations
@@ -51,6 +78,7 @@
 		terminations: record.Terminations{Pending: map[string][]wire.MachineID{}},
 		freeBytes:    c.pageLimit() - len(`{"going":{},"gone":[]}`),
 	}
+	c.dropOverruledMarks()
 	if changed := c.carryOverTerminations(draft); !changed && len(c.provisioner.toTerminate) == 0 {
 		return
 	}
@@ -114,7 +142,7 @@
 func (c *Controller) addMarkedMachines(draft *terminationsDraft) []wire.MachineID {
 	added := make([]wire.MachineID, 0, len(c.provisioner.toTerminate))
 	for _, id := range sortedKeys(c.provisioner.toTerminate) {
-		reason := c.provisioner.toTerminate[id]
+		reason := c.provisioner.toTerminate[id].reason
 		draft.reserveReason(reason)
 		if draft.freeBytes > 0 {
 			c.machine(id) // adds the machine again if it was removed in the meantime
--- a/internal/simulation/reclaimed_machine_test.go
+++ b/internal/simulation/reclaimed_machine_test.go
@@ -276,3 +276,24 @@
 		require.Empty(t, cluster.Violations, "seed %d", seed)
 	}
 }
+
+// TestRecoveredMachineIsKeptAfterStoreOutage guards against terminating a machine that reports again,
+// because it was marked as silent before an outage of the state store that delayed the termination.
+func TestRecoveredMachineIsKeptAfterStoreOutage(t *testing.T) {
+	const hang, outage = 11 * time.Second, 12 * time.Second // shorter than a lease
+	for outageAfter := 4 * time.Second; outageAfter < 7*time.Second; outageAfter += 100 * time.Millisecond {
+		cluster := newCluster(1, 3)
+		cluster.Capacity = 0
+		spec, _ := testJob(1, 0)
+		spec.Tasks = 8
+		cluster.At(2*time.Second, func() { cluster.Submit(spec, time.Hour) })
+		cluster.Run(15 * time.Second)
+		hung := cluster.jobs[spec.ID].active()[0].machine
+		hung.hangFor(hang)
+		recoveredAt := cluster.now.Add(hang)
+		cluster.At(outageAfter, func() { cluster.injectStoreOutage(outage) })
+		cluster.Run(30 * time.Second)
+		require.LessOrEqual(t, hung.terminatedAt, recoveredAt, "outage after %v: the machine was terminated after it had recovered", outageAfter)
+		require.Empty(t, cluster.Violations)
+	}
+}
