A job that has waited for a minute no longer avoids expensive machines

What callers would see: a job that may use an expensive machine type only, beyond its team's guarantee, waits for ever. Machines of that type are rented for it once it has waited for too long, stay unused, are terminated as idle and rented again.

Cause: jobs that tolerate a wait avoid machines above the price limit, whether they can use cheaper ones or not, and without a bound in time; a started job without an objective tolerates a wait for good. scaleOut takes such a job for urgent, the scheduler did not.

Fix: a job none of whose tasks is placed avoids expensive machines for 60 s after its submission only (chosen: no job may wait for 90 s while a machine that fits has room, and placing takes a moment). Jobs with placed tasks avoid them as before, which is what the price limit is for.

--- a/internal/controller/price_limit.go
+++ b/internal/controller/price_limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"lilacrill/wire"
 )
@@ -10,6 +11,9 @@
 	// capacityMargin times the known work is the work that the machines within the price
 	// limit must be able to do.
 	capacityMargin = 1.25
+	// maxPriceAvoidance is how long after its submission a job without a placed task may avoid
+	// expensive machines. No job may wait for 90 s while a machine that fits has room.
+	maxPriceAvoidance = 60 * time.Second
 	// priceTolerance is the relative tolerance for rounding errors in prices.
 	priceTolerance = 1e-9
 )
@@ -17,7 +21,8 @@
 // updatePriceLimit determines the price limit. It is the lowest price of a core at which the
 // machines up to that price suffice for the jobs that tolerate a wait to be expected to start
 // in time. These jobs avoid more expensive machines, except those with critical tasks. The
-// avoided machines then become idle and are terminated, while the jobs wait a little longer.
+// avoided machines then become idle and are terminated, while the jobs wait a little longer,
+// but not for longer than maxPriceAvoidance.
 func (c *Controller) updatePriceLimit(queue []pendingJob) {
 	c.provisioner.priceLimit = math.Inf(1)
 	cores, anyTolerant := c.coresNeeded(queue)
@@ -93,7 +98,14 @@
 
 // avoidsExpensive reports whether a job avoids machines above the price limit.
 func (c *Controller) avoidsExpensive(pending *pendingJob) bool {
-	return !pending.guaranteed && !math.IsInf(c.provisioner.priceLimit, 1) && c.waitTolerance(pending.job) > 0
+	return !pending.guaranteed && !math.IsInf(c.provisioner.priceLimit, 1) && c.waitTolerance(pending.job) > 0 &&
+		!c.waitsUnplaced(pending.job)
+}
+
+// waitsUnplaced reports whether a job has no placed task maxPriceAvoidance after its submission. The
+// job may be unable to use any machine within the price limit.
+func (c *Controller) waitsUnplaced(job *job) bool {
+	return c.pendingFor(job) > maxPriceAvoidance && len(c.cache.allocationsByJob[job.id]) == 0
 }
 
 // finiteWork returns the number of cores available to finite jobs (all but services), and the
--- a/internal/simulation/scheduling_test.go
+++ b/internal/simulation/scheduling_test.go
@@ -214,3 +214,25 @@
 		require.Empty(t, cluster.Unfinished(), "%v", cluster.Records())
 	}
 }
+
+// TestJobForExpensiveTypeStarts guards against a job that waits for ever beside room, because it avoids
+// expensive machines to save costs although it can use no others.
+func TestJobForExpensiveTypeStarts(t *testing.T) {
+	for seed := range uint64(3) {
+		settings := testSettings()
+		settings.Cluster.Objectives = append(settings.Cluster.Objectives, config.Objective{Kind: "finished", Class: "batch", WithinS: 150, Share: 0.9})
+		cluster := newClusterWith(settings, seed, 3)
+		service, _ := testJob(1, 1)
+		service.Tasks = 4 // keeps the cheap machines
+		cluster.At(time.Second, func() { cluster.Submit(service, 0) })
+		job, run := testJob(2, 0)
+		job.Tasks, job.Types, job.Accelerators, job.Spot = 1, []string{"g8"}, 1, false // beyond its team's guarantee
+		cluster.At(2*time.Second, func() { cluster.Submit(job, run) })
+		cluster.FaultsOverAt = 2 * time.Second
+		cluster.Run(2*time.Second + maxStarvation)
+		delay, started := cluster.StartDelay(job.ID)
+		require.True(t, started, "seed %d: the job never started", seed)
+		require.Less(t, delay, maxStarvation, "seed %d", seed)
+		require.Empty(t, cluster.Violations, "seed %d", seed)
+	}
+}
