--- a/internal/simulation/reclaimed_machine_test.go
+++ b/internal/simulation/reclaimed_machine_test.go
@@ -297,3 +297,71 @@
 		require.Empty(t, cluster.Violations)
 	}
 }
+
+// TestRandomlyReclaimedMachines guards against tasks that wait for ever on spot machines that are taken
+// back at any time after they were provisioned, while lists lag and go back and controllers restart.
+func TestRandomlyReclaimedMachines(t *testing.T) {
+	for seed := range uint64(8) {
+		cluster := newClusterWith(testSettings(), seed, 3)
+		cluster.ProvisioningDelay = func(string, string) time.Duration { return cluster.randomDelay(3 * time.Second) }
+		cluster.ListedStatus = cluster.randomlyLaggingStatus
+		reclaimed := 0
+		cluster.runEvery(3*time.Second, func() {
+			if cluster.FaultsOverAt == 0 && cluster.reclaimYoungMachine() {
+				reclaimed++
+			}
+		})
+		for n := range 40 {
+			spec, run := testJob(n, n%8)
+			spec.Spot = true
+			cluster.At(time.Duration(2*n)*time.Second, func() { cluster.Submit(spec, run) })
+			if spec.Shape == wire.ShapeService {
+				cluster.At(time.Duration(200+n)*time.Second, func() { cluster.CancelJob(spec.ID) })
+			}
+		}
+		cluster.At(20*time.Second, func() { cluster.restartProvisioner(2 * time.Second) })
+		cluster.At(50*time.Second, func() {
+			for i := range cluster.controllers {
+				cluster.restart(i, 2*time.Second)
+			}
+		})
+		cluster.Run(90 * time.Second)
+		cluster.FaultsOverAt = cluster.Now()
+		cluster.Run(200 * time.Second)
+		require.Greater(t, reclaimed, 5, "seed %d: too few machines were taken back", seed)
+		require.Empty(t, cluster.Violations, "seed %d", seed)
+		require.Empty(t, cluster.Unfinished(), "seed %d", seed)
+	}
+}
+
+// randomlyLaggingStatus returns a status that a list may show for a machine if it lags by up to ten
+// seconds and may be older than the list before it.
+func (c *Cluster) randomlyLaggingStatus(listed wire.CloudMachine) wire.MachineStatus {
+	age := c.now.Sub(c.machinesByID[listed.ID].provisionedAt)
+	if age > 10*time.Second {
+		return listed.Status
+	}
+	return []wire.MachineStatus{"", wire.MachineBooting, listed.Status}[c.rng.IntN(3)]
+}
+
+// reclaimYoungMachine takes back a random spot machine that was provisioned less than ten seconds ago,
+// half of the time with a notice, and reports whether there is one.
+func (c *Cluster) reclaimYoungMachine() bool {
+	var young []*fakeMachine
+	for _, machine := range c.machines {
+		if machine.spot && !machine.terminated && machine.preemptionAt == 0 && c.now.Sub(machine.provisionedAt) < 10*time.Second {
+			young = append(young, machine)
+		}
+	}
+	if len(young) == 0 {
+		return false
+	}
+	machine := young[c.rng.IntN(len(young))]
+	var notice time.Duration
+	if c.rng.IntN(2) == 0 {
+		notice = 2 * time.Second
+		machine.preemptionAt = c.now.Add(notice)
+	}
+	c.after(notice, machine.reclaim)
+	return true
+}
