Heartbeats and users' requests have a queue each

Cause: users' requests and heartbeats stood in one queue of 512 for the one event loop. While heartbeats fill it, every poll is refused.

Why it works: the event loop takes turns between its queues at random, so a poll waits for a handful of steps whatever the number of workers; heartbeats that find their own queue full are refused as before, and their workers try another controller.

--- a/cmd/lilacrill/process.go
+++ b/cmd/lilacrill/process.go
@@ -38,7 +38,10 @@
 	controller *controller.Controller
 	start      time.Time
 
+	// Requests of users and operators, and heartbeats of workers, have a queue each, so that users
+	// do not wait until the heartbeats of all workers are handled.
 	requests     chan pendingRequest
+	heartbeats   chan pendingRequest
 	completions  chan controller.Input // results of calls to other services
 	peerMessages chan controller.Input
 	// stopped is closed when the event loop ends. After that nothing receives from the channels
@@ -71,9 +74,11 @@
 }
 
 // Sizes of the event loop's queues. A request is refused, and a peer message dropped, if its queue
-// is full, so that the controller does not work on outdated input.
+// is full, so that the controller does not work on outdated input. While several queues are not
+// empty, the event loop takes turns between them at random.
 const (
 	requestQueueSize     = 512
+	heartbeatQueueSize   = 512
 	completionQueueSize  = 4096
 	peerMessageQueueSize = 64 // a message may name very many machines
 )
@@ -105,6 +110,7 @@
 		controller:   controller.New(settings, log, rand.Uint64()),
 		start:        time.Now(),
 		requests:     make(chan pendingRequest, requestQueueSize),
+		heartbeats:   make(chan pendingRequest, heartbeatQueueSize),
 		completions:  make(chan controller.Input, completionQueueSize),
 		peerMessages: make(chan controller.Input, peerMessageQueueSize),
 		stopped:      make(chan struct{}),
@@ -166,8 +172,12 @@
 func (p *process) Enqueue(makeInput func(controller.RequestID) controller.Input) (<-chan controller.Reply, bool) {
 	id := controller.RequestID(p.lastRequest.Add(1))
 	request := pendingRequest{id: id, input: makeInput(id), reply: make(chan controller.Reply, 1)}
+	queue := p.requests
+	if _, fromWorker := request.input.(controller.HeartbeatReceived); fromWorker {
+		queue = p.heartbeats
+	}
 	select {
-	case p.requests <- request:
+	case queue <- request:
 		return request.reply, true
 	default:
 		return nil, false
@@ -207,16 +217,23 @@
 		case input := <-p.peerMessages:
 			p.step(input)
 		case request := <-p.requests:
-			p.replies[request.id] = request.reply
-			p.step(request.input)
+			p.handleRequest(request)
+		case request := <-p.heartbeats:
+			p.handleRequest(request)
 		}
 	}
 }
 
+// handleRequest passes a request to the controller.
+func (p *process) handleRequest(request pendingRequest) {
+	p.replies[request.id] = request.reply
+	p.step(request.input)
+}
+
 // load returns the load of this process.
 func (p *process) load() controller.ProcessLoad {
 	load := p.server.Load()
-	load.QueuedRequests = len(p.requests)
+	load.QueuedRequests, load.QueuedHeartbeats = len(p.requests), len(p.heartbeats)
 	return load
 }
 
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -64,6 +64,7 @@
 
 	gaugeInboundConnections = "connections_inbound"
 	gaugeQueuedRequests     = "requests_queued"
+	gaugeQueuedHeartbeats   = "heartbeats_queued"
 	gaugePollsUnanswered    = "polls_unanswered_" // followed by the reason
 	gaugeLoadDuration       = "load_last_ms"
 
--- a/internal/controller/process_load.go
+++ b/internal/controller/process_load.go
@@ -17,7 +17,8 @@
 // to operators and checks it, but decides nothing by it.
 type ProcessLoad struct {
 	InboundConnections int // open connections from users, workers and health checks
-	QueuedRequests     int // requests that wait for the event loop
+	QueuedRequests     int // requests of users and operators that wait for the event loop
+	QueuedHeartbeats   int // heartbeats that wait for the event loop
 	Polls              PollCounts
 }
 
@@ -82,6 +83,7 @@
 	c.load.nextReview = c.now.Add(loadReviewInterval)
 	c.metrics.set(gaugeInboundConnections, load.InboundConnections)
 	c.metrics.set(gaugeQueuedRequests, load.QueuedRequests)
+	c.metrics.set(gaugeQueuedHeartbeats, load.QueuedHeartbeats)
 	for reason := range PollRefusals {
 		c.metrics.set(gaugePollsUnanswered+reason.String(), int(load.Polls.Unanswered[reason]))
 	}
@@ -101,7 +103,7 @@
 		refused = true
 		if !c.load.refusing {
 			c.log.Info("refusing polls", "reason", reason.String(), "count", count, "inbound_connections", load.InboundConnections,
-				"queued_requests", load.QueuedRequests, "unavailable", string(c.Unavailability()), "healthy", c.Healthy())
+				"queued_requests", load.QueuedRequests, "queued_heartbeats", load.QueuedHeartbeats, "unavailable", string(c.Unavailability()), "healthy", c.Healthy())
 		}
 	}
 	switch {
