--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -106,6 +106,20 @@
 	return 2*connected <= 1+len(c.settings.Siblings) && c.now.Sub(c.membership.readyAt) > ackTimeout
 }
 
+// receivesFromAllPeers reports whether messages from all other live controllers arrive. It is
+// false if there are no others.
+func (c *Controller) receivesFromAllPeers() bool {
+	for label := range c.cache.liveControllers {
+		if label == c.settings.Label {
+			continue
+		}
+		if peer := c.gossip.peers[label]; peer == nil || !peer.isHeard(c.now) {
+			return false
+		}
+	}
+	return len(c.cache.liveControllers) > 1
+}
+
 // peerWithStore returns the label of a peer that reaches the state store, or "" if none is
 // known to.
 func (c *Controller) peerWithStore() string {
--- a/internal/controller/scale_in.go
+++ b/internal/controller/scale_in.go
@@ -218,20 +218,6 @@
 	return config.Seconds(fraction * c.settings.Cluster.Workers.CancelS)
 }
 
-// receivesFromAllPeers reports whether messages from all other live controllers arrive. It is
-// false if there are no others.
-func (c *Controller) receivesFromAllPeers() bool {
-	for label := range c.cache.liveControllers {
-		if label == c.settings.Label {
-			continue
-		}
-		if peer := c.gossip.peers[label]; peer == nil || !peer.isHeard(c.now) {
-			return false
-		}
-	}
-	return len(c.cache.liveControllers) > 1
-}
-
 // markForTermination marks a machine for termination. recordTerminations records all marked
 // machines together.
 func (c *Controller) markForTermination(machine *machine, reason string) {
