--- a/cmd/lilacrill/process.go
+++ b/cmd/lilacrill/process.go
@@ -60,6 +60,8 @@
 	server  *server.Server
 	tracer  *tracing.Tracer
 
+	longSteps longSteps
+
 	// shutdown fires when the event loop must end because of shutdownCause. It is nil until the
 	// controller requests a shutdown.
 	shutdown      <-chan time.Time
@@ -86,8 +88,6 @@
 const (
 	// maxStepGap is the time without a step after which the process no longer counts as healthy.
 	maxStepGap = time.Second
-	// longStep is the duration above which a single step is logged.
-	longStep = 250 * time.Millisecond
 	// shutdownGrace is the time during which a process that shuts down still refuses requests
 	// before it exits.
 	shutdownGrace = 200 * time.Millisecond
@@ -245,7 +245,7 @@
 		p.execute(output)
 	}
 	if took := time.Since(now); took > longStep {
-		p.log.Info("step of the event loop took long", "input", fmt.Sprintf("%T", input), "took", took)
+		p.longSteps.add(p.log, now, input, took)
 	}
 	p.lastStep.Store(int64(sinceStart))
 	p.healthy.Store(p.controller.Healthy())
