--- a/review/second/case_holder.go
+++ b/review/second/case_holder.go
@@ -12,14 +12,14 @@
 // returns.
 func (r *rig) holderJobs() (*machine, error) {
 	camion := wire.MachineType{Name: "camion-16", Cores: 16, MemGB: 64, LocalGB: 80, PullGBPerS: 0.2, OnDemandPrice: 1.11, SpotPrice: 0.39, StartupS: 30}
-	machines, err := r.openWith([]wire.MachineType{camion, volqueta}, append([]offerKey{{"camion-16", "san-jose", false}}, busyMachines...)...)
+	machines, err := r.openWith([]wire.MachineType{camion, volqueta}, append([]offerKey{{"camion-16", "san-jose", false}}, slices.Repeat([]offerKey{busyMachine}, fewBusyMachines)...)...)
 	if err != nil {
 		return nil, err
 	}
 	booking := newJob("wk-000001", wire.ShapeService, wire.PriorityCritical, 1, 1, 0, 3, 0)
 	booking.spec.Class, booking.spec.Types = "booking-desk", []string{"camion-16"}
 	ended := newJob("wk-000002", wire.ShapeArray, wire.PriorityNormal, 1, 6, 0, 20, 300*time.Second)
-	if err := r.fillThem(); err != nil {
+	if err := r.fill(fewBusyMachines); err != nil {
 		return nil, err
 	}
 	return machines[0], r.submitAndAwait(booking, ended)
--- a/review/second/case_waiting.go
+++ b/review/second/case_waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"lilacrill/wire"
@@ -37,12 +38,15 @@
 	return started, nil
 }
 
-// busyMachines are further machines of the deployment, cheap ones. fillThem leaves no room on them.
-var busyMachines = []offerKey{{"volqueta-4", "cartago", true}, {"volqueta-4", "cartago", true}, {"volqueta-4", "cartago", true}}
+// busyMachine is a further machine of the deployment, a cheap one. fill leaves no room on such machines.
+var busyMachine = offerKey{"volqueta-4", "cartago", true}
 
-// fillThem submits a job whose tasks fill the busyMachines, and waits until they run.
-func (r *rig) fillThem() error {
-	filler := newJob("wk-000009", wire.ShapeArray, wire.PriorityHigh, len(busyMachines), 4, 0, 30, 300*time.Second)
+// fewBusyMachines is how many of them most cases have.
+const fewBusyMachines = 3
+
+// fill submits a job whose tasks fill the busy machines, and waits until they run.
+func (r *rig) fill(count int) error {
+	filler := newJob("wk-000009", wire.ShapeArray, wire.PriorityHigh, count, 4, 0, 30, 300*time.Second)
 	filler.spec.Types, filler.spec.Zone, filler.spec.Spot = []string{"volqueta-4"}, "cartago", true
 	return r.submitAndAwait(filler)
 }
@@ -60,7 +64,7 @@
 	return nil
 }
 
-// take has the cloud take a cheap machine back without notice: one of four in these cases.
+// take has the cloud take a cheap machine back without notice: one of four, or of twelve.
 func (r *rig) take(m *machine) {
 	if r.trouble {
 		r.log("TROUBLE: the cloud takes %s back without notice", m.id)
@@ -83,7 +87,7 @@
 // has no other. A small job that needs none must not wait for ever beside the room on another machine
 // with accelerators.
 func waitsForAccelerators(r *rig) (string, error) {
-	machines, err := r.openWith([]wire.MachineType{volqueta, grua}, append([]offerKey{{"grua-32", "san-jose", false}, {"grua-32", "heredia", true}}, busyMachines...)...)
+	machines, err := r.openWith([]wire.MachineType{volqueta, grua}, append([]offerKey{{"grua-32", "san-jose", false}, {"grua-32", "heredia", true}}, slices.Repeat([]offerKey{busyMachine}, fewBusyMachines)...)...)
 	if err != nil {
 		return "", err
 	}
@@ -91,7 +95,7 @@
 	second := newJob("wk-000002", wire.ShapeGang, wire.PriorityHigh, 1, 28, 4, 200, 300*time.Second)
 	second.spec.Spot, second.spec.Zone = true, "heredia"
 	first.spec.Zone = "san-jose"
-	if err := errors.Join(r.fillThem(), r.submitAndAwait(first, second)); err != nil {
+	if err := errors.Join(r.fill(fewBusyMachines), r.submitAndAwait(first, second)); err != nil {
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
@@ -110,7 +114,7 @@
 // beside a machine whose room is kept free for replicas that nobody has asked for.
 func waitsForHeadroom(r *rig) (string, error) {
 	r.settings.objectives = "[[cluster.objectives]]\nkind = \"wait\"\nclass = \"booking-desk\"\nwithin_s = 1.0\nshare = 0.9"
-	machines, err := r.openWith([]wire.MachineType{volqueta}, append([]offerKey{{"volqueta-4", "san-jose", false}, {"volqueta-4", "heredia", true}}, busyMachines...)...)
+	machines, err := r.openWith([]wire.MachineType{volqueta}, append([]offerKey{{"volqueta-4", "san-jose", false}, {"volqueta-4", "heredia", true}}, slices.Repeat([]offerKey{busyMachine}, fewBusyMachines)...)...)
 	if err != nil {
 		return "", err
 	}
@@ -118,7 +122,7 @@
 	booking.spec.Class = "booking-desk"
 	sweep := newJob("wk-000002", wire.ShapeArray, wire.PriorityBestEffort, 1, 2, 0, 6, 300*time.Second)
 	sweep.spec.Class, sweep.spec.Spot = "invoice-sweep", true
-	if err := errors.Join(r.fillThem(), r.submitAndAwait(booking, sweep)); err != nil {
+	if err := errors.Join(r.fill(fewBusyMachines), r.submitAndAwait(booking, sweep)); err != nil {
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
@@ -129,14 +133,14 @@
 // waitsForGang: a gang loses a task with its cheap machine and can't start again, as the cloud has no
 // other. A small job must not wait beside the room that the gang can't use.
 func waitsForGang(r *rig) (string, error) {
-	machines, err := r.openWith([]wire.MachineType{volqueta}, append([]offerKey{{"volqueta-4", "san-jose", false}, {"volqueta-4", "heredia", false}, {"volqueta-4", "heredia", true}}, busyMachines...)...)
+	machines, err := r.openWith([]wire.MachineType{volqueta}, append([]offerKey{{"volqueta-4", "san-jose", false}, {"volqueta-4", "heredia", false}, {"volqueta-4", "heredia", true}}, slices.Repeat([]offerKey{busyMachine}, fewBusyMachines)...)...)
 	if err != nil {
 		return "", err
 	}
 	base := newJob("wk-000001", wire.ShapeService, wire.PriorityHigh, 2, 1, 0, 3, 0)
 	gang := newJob("wk-000002", wire.ShapeGang, wire.PriorityHigh, 3, 3, 0, 3, 300*time.Second)
 	gang.spec.Spot = true
-	if err := errors.Join(r.fillThem(), r.submitAndAwait(base, gang)); err != nil {
+	if err := errors.Join(r.fill(fewBusyMachines), r.submitAndAwait(base, gang)); err != nil {
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
@@ -154,7 +158,7 @@
 // reusedAddress: the cloud takes a cheap machine back without notice, and gives its address to a machine
 // that is rented a moment later. The task that was lost must start again beside the room elsewhere.
 func reusedAddress(r *rig) (string, error) {
-	machines, err := r.openWith([]wire.MachineType{volqueta}, append([]offerKey{{"volqueta-4", "san-jose", false}, {"volqueta-4", "heredia", true}}, busyMachines...)...)
+	machines, err := r.openWith([]wire.MachineType{volqueta}, append([]offerKey{{"volqueta-4", "san-jose", false}, {"volqueta-4", "heredia", true}}, slices.Repeat([]offerKey{busyMachine}, manyBusyMachines)...)...)
 	if err != nil {
 		return "", err
 	}
@@ -163,7 +167,7 @@
 	base := newJob("wk-000001", wire.ShapeArray, wire.PriorityNormal, 1, 1, 0, 3, 300*time.Second)
 	lost := newJob("wk-000002", wire.ShapeArray, wire.PriorityNormal, 1, 2, 0, 6, 300*time.Second)
 	lost.spec.Spot = true
-	if err := errors.Join(r.fillThem(), r.submitAndAwait(base, lost)); err != nil {
+	if err := errors.Join(r.fill(manyBusyMachines), r.submitAndAwait(base, lost)); err != nil {
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
@@ -175,6 +179,10 @@
 	return r.watchWaiting(lost, time.Now()), nil
 }
 
+// manyBusyMachines is how many busy machines there are when an address is reused: a controller that looks
+// for a worker that answers asks one of those heard last, and should seldom meet the one that is gone.
+const manyBusyMachines = 11
+
 // quickBoot is how long the next machine takes until it is up: "at times machines are up within a second
 // or two".
 const quickBoot = 1200 * time.Millisecond
