--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,8 +5,8 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-if ! [ -x target/lilacrill ] || ! [ -x target/review-2 ]; then
+if ! [ -x target/lilacrill ] || ! [ -x target/review-2/case6 ]; then
 	echo "build the program with the build of deploy/service.toml, and the stand-ins with review/build-2.sh" >&2
 	exit 2
 fi
-exec target/review-2 waits-for-accelerators "$folder/record.txt"
+exec target/review-2/case6 "$folder/record.txt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,8 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review: one program with all cases. It needs no network.
-set -eu
+# Builds the cases of the second review with their stand-ins, after the build of the deploy file. It needs
+# no network. Everything goes under target/.
+set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-2 ./review/second
+for folder in review/[4-8]; do
+	go build -o "target/review-2/case$(basename "$folder")" "./$folder"
+done
--- a/review/second/case_waiting.go
+++ b/review/second/case_waiting.go
@@ -1,4 +1,4 @@
-package main
+package second
 
 import (
 	"errors"
@@ -171,6 +171,12 @@
 		return "", err
 	}
 	time.Sleep(2 * time.Second)
+	// Between two reports of the machine, so that it is not among those that a controller asks.
+	if err := r.await("the machine has not reported for 1.2 s", 20*time.Second, func() bool {
+		return machines[1].sinceReport() > 1200*time.Millisecond && machines[1].sinceReport() < 1700*time.Millisecond
+	}); err != nil {
+		return "", err
+	}
 	r.take(machines[1])
 	next := newJob("wk-000003", wire.ShapeArray, wire.PriorityNormal, 1, 4, 0, 6, 300*time.Second)
 	if err := r.submitAndAwait(next); err != nil {
--- a/review/second/main.go
+++ b/review/second/cases.go
@@ -1,12 +1,6 @@
-// Command review-2 runs one case of the second review: it starts controllers as processes of their own,
-// with stand-ins of everything outside on loopback addresses, and checks one rule.
-//
-//	review-2 CASE RECORD
-//
-// It is started from the root of the repository. The exit status is 1 if the rule was broken, 0 if it
-// held, and 2 if the case could not run. With TROUBLE=0 in the environment the case runs without its
-// disruption.
-package main
+// Package second holds the cases of the second review. A case starts controllers as processes of their
+// own, with stand-ins of everything outside on loopback addresses, and checks one rule.
+package second
 
 import (
 	"errors"
@@ -40,19 +34,22 @@
 // runLimit bounds a run, since a script may take 120 s.
 const runLimit = 118 * time.Second
 
-func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD")
+// Main runs the case with a name and exits. The only argument of the program is the path of the record. It
+// is started from the root of the repository. The exit status is 1 if the rule was broken, 0 if it held,
+// and 2 if the case could not run. With TROUBLE=0 in the environment the case runs without its disruption.
+func Main(name string) {
+	if len(os.Args) != 2 || cases[name] == nil {
+		fmt.Fprintln(os.Stderr, "usage: case RECORD")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(cases[os.Args[1]], os.Args[2]))
+	os.Exit(run(cases[name], os.Args[1]))
 }
 
 // run runs a case and writes its record.
 func run(c reviewCase, path string) int {
 	r, err := newRig(path, os.Getenv("TROUBLE") != "0")
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "review-2:", err)
+		fmt.Fprintln(os.Stderr, "case:", err)
 		return exitNotRun
 	}
 	defer r.close()
--- a/review/second/machine.go
+++ b/review/second/machine.go
@@ -1,4 +1,4 @@
-package main
+package second
 
 import (
 	"encoding/json"
@@ -57,7 +57,8 @@
 	tally     wire.Sequence
 	baton     wire.FencingToken
 	leaseFrom time.Time
-	node      int // gets the reports
+	reported  time.Time // when the last report was sent
+	node      int       // gets the reports
 	changed   bool
 	stop      chan struct{}
 }
@@ -128,6 +129,13 @@
 	return !m.upAt.IsZero() && m.goneAt.IsZero()
 }
 
+// sinceReport returns the time since the machine sent its last report.
+func (m *machine) sinceReport() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.reported)
+}
+
 // active returns the tasks on the machine that have not exited.
 func (m *machine) active() []string {
 	m.mu.Lock()
@@ -243,7 +251,7 @@
 		m.mu.Lock()
 		m.expireLease()
 		node, sentAt, report := m.node, time.Now(), m.heartbeat()
-		m.changed = false
+		m.changed, m.reported = false, sentAt
 		m.mu.Unlock()
 		if client[node] == nil {
 			client[node] = httpcall.New(m.rig.publicAddrs[node], 1, time.Minute)
--- a/review/second/proc.go
+++ b/review/second/proc.go
@@ -1,4 +1,4 @@
-package main
+package second
 
 import (
 	"fmt"
