--- /dev/null
+++ b/review/second/case_waiting.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"errors"
+	"time"
+
+	"lilacrill/wire"
+)
+
+// The machine types of the small deployments.
+var (
+	volqueta = wire.MachineType{Name: "volqueta-4", Cores: 4, MemGB: 32, LocalGB: 80, PullGBPerS: 0.8, OnDemandPrice: 0.31, SpotPrice: 0.1, StartupS: 15}
+	grua     = wire.MachineType{Name: "grua-32", Cores: 32, Accelerators: 4, MemGB: 256, LocalGB: 200, PullGBPerS: 0.4, OnDemandPrice: 11.8, SpotPrice: 3.8, StartupS: 35}
+)
+
+// inZones returns machine types as the catalogue lists them.
+func (r *rig) inZones(types ...wire.MachineType) []wire.MachineType {
+	for i := range types {
+		types[i].Zones = r.settings.zones
+	}
+	return types
+}
+
+// openWith opens the rig with some machines, of which the cloud has no others.
+func (r *rig) openWith(types []wire.MachineType, machines ...offerKey) ([]*machine, error) {
+	if err := r.open(r.inZones(types...), map[offerKey]int{}, 15*time.Second); err != nil {
+		return nil, err
+	}
+	var started []*machine
+	for _, key := range machines {
+		started = append(started, r.cloud.add(key, 0))
+	}
+	if err := r.await("there is a leader for scaling", 15*time.Second, func() bool { return r.leader() >= 0 }); err != nil {
+		return nil, err
+	}
+	time.Sleep(3 * time.Second) // the machines report
+	return started, nil
+}
+
+// busyMachines are further machines of the deployment, cheap ones. fillThem leaves no room on them.
+var busyMachines = []offerKey{{"volqueta-4", "cartago", true}, {"volqueta-4", "cartago", true}, {"volqueta-4", "cartago", true}}
+
+// fillThem submits a job whose tasks fill the busyMachines, and waits until they run.
+func (r *rig) fillThem() error {
+	filler := newJob("wk-000009", wire.ShapeArray, wire.PriorityHigh, len(busyMachines), 4, 0, 30, 300*time.Second)
+	filler.spec.Types, filler.spec.Zone, filler.spec.Spot = []string{"volqueta-4"}, "cartago", true
+	return r.submitAndAwait(filler)
+}
+
+// submitAndAwait submits jobs and waits until all their tasks are on machines.
+func (r *rig) submitAndAwait(jobs ...*job) error {
+	for _, j := range jobs {
+		if err := r.submit(j, 0, 1, 2); err != nil {
+			return err
+		}
+		if err := r.await(string(j.spec.ID)+" is on its machines", 15*time.Second, func() bool { return len(r.startsOf(j.spec.ID)) == j.spec.Tasks }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// take has the cloud take a cheap machine back without notice: one of four in these cases.
+func (r *rig) take(m *machine) {
+	if r.trouble {
+		r.log("TROUBLE: the cloud takes %s back without notice", m.id)
+		m.end("taken")
+	}
+}
+
+// awaitPending waits until the controllers know that no task of a job runs any more.
+func (r *rig) awaitPending(j *job) error {
+	if !r.trouble {
+		return nil
+	}
+	return r.await(string(j.spec.ID)+" is pending again", 40*time.Second, func() bool {
+		_, answer := r.call("GET", 0, "/work/"+string(j.spec.ID), nil)
+		return answer.Status == wire.StatusPending
+	})
+}
+
+// waitsForAccelerators: a job that needs accelerators has lost its cheap machine and waits, as the cloud
+// has no other. A small job that needs none must not wait for ever beside the room on another machine
+// with accelerators.
+func waitsForAccelerators(r *rig) (string, error) {
+	machines, err := r.openWith([]wire.MachineType{volqueta, grua}, append([]offerKey{{"grua-32", "san-jose", false}, {"grua-32", "heredia", true}}, busyMachines...)...)
+	if err != nil {
+		return "", err
+	}
+	first := newJob("wk-000001", wire.ShapeGang, wire.PriorityHigh, 1, 28, 4, 200, 300*time.Second)
+	second := newJob("wk-000002", wire.ShapeGang, wire.PriorityHigh, 1, 28, 4, 200, 300*time.Second)
+	second.spec.Spot, second.spec.Zone = true, "heredia"
+	first.spec.Zone = "san-jose"
+	if err := errors.Join(r.fillThem(), r.submitAndAwait(first, second)); err != nil {
+		return "", err
+	}
+	time.Sleep(2 * time.Second)
+	r.take(machines[1])
+	if err := r.awaitPending(second); err != nil {
+		return "", err
+	}
+	small := newJob("wk-000003", wire.ShapeArray, wire.PriorityNormal, 1, 1, 0, 2.7, 25*time.Second)
+	if err := r.submit(small, 0, 1, 2); err != nil {
+		return "", err
+	}
+	return r.watchWaiting(small, time.Now()), nil
+}
+
+// waitsForHeadroom: a job loses its cheap machine, and the cloud has no other. It must not wait for ever
+// beside a machine whose room is kept free for replicas that nobody has asked for.
+func waitsForHeadroom(r *rig) (string, error) {
+	r.settings.objectives = "[[cluster.objectives]]\nkind = \"wait\"\nclass = \"booking-desk\"\nwithin_s = 1.0\nshare = 0.9"
+	machines, err := r.openWith([]wire.MachineType{volqueta}, append([]offerKey{{"volqueta-4", "san-jose", false}, {"volqueta-4", "heredia", true}}, busyMachines...)...)
+	if err != nil {
+		return "", err
+	}
+	booking := newJob("wk-000001", wire.ShapeService, wire.PriorityCritical, 1, 1, 0, 3, 0)
+	booking.spec.Class = "booking-desk"
+	sweep := newJob("wk-000002", wire.ShapeArray, wire.PriorityBestEffort, 1, 2, 0, 6, 300*time.Second)
+	sweep.spec.Class, sweep.spec.Spot = "invoice-sweep", true
+	if err := errors.Join(r.fillThem(), r.submitAndAwait(booking, sweep)); err != nil {
+		return "", err
+	}
+	time.Sleep(2 * time.Second)
+	r.take(machines[1])
+	return r.watchWaiting(sweep, time.Now()), nil
+}
+
+// waitsForGang: a gang loses a task with its cheap machine and can't start again, as the cloud has no
+// other. A small job must not wait beside the room that the gang can't use.
+func waitsForGang(r *rig) (string, error) {
+	machines, err := r.openWith([]wire.MachineType{volqueta}, append([]offerKey{{"volqueta-4", "san-jose", false}, {"volqueta-4", "heredia", false}, {"volqueta-4", "heredia", true}}, busyMachines...)...)
+	if err != nil {
+		return "", err
+	}
+	base := newJob("wk-000001", wire.ShapeService, wire.PriorityHigh, 2, 1, 0, 3, 0)
+	gang := newJob("wk-000002", wire.ShapeGang, wire.PriorityHigh, 3, 3, 0, 3, 300*time.Second)
+	gang.spec.Spot = true
+	if err := errors.Join(r.fillThem(), r.submitAndAwait(base, gang)); err != nil {
+		return "", err
+	}
+	time.Sleep(2 * time.Second)
+	r.take(machines[2])
+	if err := r.awaitPending(gang); err != nil {
+		return "", err
+	}
+	small := newJob("wk-000003", wire.ShapeArray, wire.PriorityBestEffort, 1, 2, 0, 6, 20*time.Second)
+	if err := r.submit(small, 0, 1, 2); err != nil {
+		return "", err
+	}
+	return r.watchWaiting(small, time.Now()), nil
+}
+
+// failsOnce: the tasks of a job fail once on each of the two machines, which are well afterwards.
+func failsOnce(r *rig) (string, error) {
+	machines, err := r.openWith([]wire.MachineType{volqueta}, offerKey{"volqueta-4", "san-jose", false}, offerKey{"volqueta-4", "heredia", false})
+	if err != nil {
+		return "", err
+	}
+	base := newJob("wk-000001", wire.ShapeArray, wire.PriorityHigh, 2, 1, 0, 3, 300*time.Second)
+	if err := r.submitAndAwait(base); err != nil {
+		return "", err
+	}
+	for _, m := range machines {
+		m.setFaulty(r.trouble)
+	}
+	small := newJob("wk-000003", wire.ShapeArray, wire.PriorityNormal, 1, 2, 0, 6, 10*time.Second)
+	if err := r.submit(small, 0, 1, 2); err != nil {
+		return "", err
+	}
+	if r.trouble {
+		if err := r.await("it failed on both machines", 20*time.Second, func() bool { return len(r.endsOf("wk-000003")) >= 2 }); err != nil {
+			return "", err
+		}
+	}
+	for _, m := range machines {
+		m.setFaulty(false)
+	}
+	return r.watchWaiting(small, time.Now()), nil
+}
