--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -86,6 +86,7 @@
 	c.rollout.init(settings)
 	c.shards.init(settings)
 	c.forwarding.init()
+	c.scheduler.starvation.init()
 	return c
 }
 
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -115,13 +115,14 @@
 	slices.SortFunc(zone.hosts, func(a, b hostCapacity) int {
 		return cmp.Or(-cmp.Compare(a.available, b.available), cmp.Compare(a.host.ID, b.host.ID))
 	})
-	left := count
+	left, request := count, pending.job.request
 	for _, capacity := range zone.hosts {
 		for n := 0; n < capacity.withPreemption && left > 0; n++ {
 			if n >= capacity.available && (!preempts || !p.c.makeRoom(p.transactions, capacity.host, pending, false)) {
 				break
 			}
-			capacity.host.Free = capacity.host.Free.Plus(pending.job.request.Need, -1)
+			capacity.host.AddTasks(request.Team, request.Tags, request.Need, 1)
+			capacity.host.NoteReservation(request, 1)
 			left--
 		}
 	}
--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -22,7 +22,7 @@
 	c := p.c
 	if p.ownShards {
 		for _, demand := range c.headroomDemands() {
-			p.fleet.Choose(demand.Request, c.ownHeadroom(demand), "", placement.Options{Relax: true})
+			p.reserve(demand.Request, c.ownHeadroom(demand))
 		}
 		return
 	}
@@ -32,7 +32,7 @@
 	c.provisioner.missingHeadroom = 0
 	for _, demand := range c.headroomDemands() {
 		missing := demand.Count
-		for _, assignment := range p.fleet.Choose(demand.Request, demand.Count, "", placement.Options{Relax: true}) {
+		for _, assignment := range p.reserve(demand.Request, demand.Count) {
 			missing -= assignment.Count
 			c.fleet.machines[assignment.Machine].scaling.holdsHeadroom = true
 		}
@@ -40,6 +40,15 @@
 	}
 }
 
+// reserve reserves room for up to count tasks of a request, and returns where.
+func (p *schedulingPass) reserve(request *placement.Request, count int) []placement.Assignment {
+	assignments := p.fleet.Choose(request, count, "", placement.Options{Relax: true})
+	for _, assignment := range assignments {
+		p.c.fleet.machines[assignment.Machine].host.NoteReservation(request, assignment.Count)
+	}
+	return assignments
+}
+
 // ownHeadroom returns the number of tasks of a headroom demand for which this controller
 // reserves room. Each task belongs to a shard, as machines do, so the parts of all controllers
 // add up to the whole demand, however small it is.
--- a/internal/controller/job_placement.go
+++ b/internal/controller/job_placement.go
@@ -96,8 +96,8 @@
 		var tasks record.TaskSet
 		tasks, j.pending.missing = j.pending.missing.Take(min(left, c.maxTasksPerAllocation()))
 		left -= tasks.Len()
-		if j.canStage {
-			j.stage(machine, tasks)
+		if !j.canStage || !j.stage(machine, tasks) {
+			machine.host.NoteReservation(job.request, tasks.Len())
 		}
 	}
 	if assignment.Relaxed && j.canStage {
@@ -106,10 +106,10 @@
 	}
 }
 
-// stage stages an allocation of tasks on a machine. Once the transaction is full, the remaining
-// tasks of the job are only planned for. Allocations of a gang that are already staged are then
-// unstaged, because a gang is placed as a whole or not at all.
-func (j *jobPlacement) stage(machine *machine, tasks record.TaskSet) {
+// stage stages an allocation of tasks on a machine, and reports whether it did. Once the transaction
+// is full, the remaining tasks of the job are only planned for. Allocations of a gang that are already
+// staged are then unstaged, because a gang is placed as a whole or not at all.
+func (j *jobPlacement) stage(machine *machine, tasks record.TaskSet) bool {
 	c, job := j.pass.c, j.pending.job
 	if j.attempt == 0 {
 		j.attempt = wire.Attempt(c.membership.nextSerial())
@@ -119,9 +119,11 @@
 		j.canStage = false
 		if job.spec.Shape == wire.ShapeGang {
 			j.transaction.unstageAttempt(j.attempt)
+			j.pending.staged = false
 		}
-		return
+		return false
 	}
+	j.pending.staged = true
 	j.transaction.placesTasks = true
 	if c.sharded() {
 		j.transaction.shards[machine.shard] = true
@@ -133,6 +135,7 @@
 	c.metrics.count(countTasksPlaced, tasks.Len())
 	c.log.Debug("tasks placed", "job_id", job.id, "class", job.spec.Class, "machine_id", machine.id, "attempt", j.attempt, "tasks", tasks.Len(),
 		"image_cached", machine.images.cached[job.spec.Image], "guaranteed", j.pending.guaranteed)
+	return true
 }
 
 func (j *jobPlacement) newAllocation(machine *machine, tasks record.TaskSet) Allocation {
--- a/internal/controller/machine_search.go
+++ b/internal/controller/machine_search.go
@@ -155,8 +155,12 @@
 	return count
 }
 
-// reserveFreeingCapacity reserves capacity that is being freed on a host for tasks of a job.
+// reserveFreeingCapacity reserves capacity that is being freed on a host for tasks of a job. What
+// is freed for critical tasks is free within seconds, and is left to them.
 func (p *schedulingPass) reserveFreeingCapacity(evaluator *placement.Evaluator, job *job, host *placement.Host, tasks int) {
 	evaluator.Reserve(job.request, host, tasks)
+	if job.spec.Priority != wire.PriorityCritical {
+		host.NoteReservation(job.request, tasks)
+	}
 	p.jobHosts[job.id] = append(p.jobHosts[job.id], host)
 }
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -29,6 +29,7 @@
 	countTasksPlaced                  = "tasks_placed"
 	countAffinityRelaxed              = "preferred_relaxed"
 	countTasksPreempted               = "tasks_preempted"
+	countReservationsReleased         = "reservations_released"
 	countCrashLoops                   = "jobs_failing_everywhere"
 	countLaunchRetries                = "launches_resent"
 	countFencesRaised                 = "fences"
--- a/internal/controller/pending_jobs.go
+++ b/internal/controller/pending_jobs.go
@@ -19,6 +19,7 @@
 	deadline       int64          // its deadline or earliest objective still reachable, in Unix milliseconds
 	missesDeadline bool           // the job cannot meet its deadline, or was deferred so that others can
 	overdue        bool           // the job has waited longer than overdueAfter for its first start
+	staged         bool           // tasks of the job are placed by the pass
 }
 
 // The kinds of objectives in the settings.
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -97,6 +97,9 @@
 	if c.pendingFor(job) > overdueAfter && priority > required.Level() {
 		return false
 	}
+	if priority > wire.PriorityCritical.Level() && c.rescuedFromStarvation(job) {
+		return false
+	}
 	hasLowerPriority := allocation.Priority > priority
 	isBeyondGuarantee := pending.guaranteed && !c.scheduler.guaranteedJobs[allocation.Job] &&
 		job.spec.Team != pending.job.spec.Team && allocation.Priority >= wire.PriorityNormal.Level()
--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -26,6 +26,7 @@
 	nextDemandEstimate Time
 	lag                lagMeter
 
+	starvation     starvation
 	guaranteedJobs map[wire.JobID]bool // jobs within their teams' quota guarantees
 }
 
--- a/internal/controller/scheduling_pass.go
+++ b/internal/controller/scheduling_pass.go
@@ -19,6 +19,8 @@
 //  3. It places all other jobs. Those that prefer a cached image are placed only on machines that
 //     have the image.
 //  4. It places the remaining tasks of jobs that prefer a cached image on any machine.
+//  5. It releases all reservations, and gives the room to jobs that these have kept waiting for too
+//     long (see starvation).
 type schedulingPass struct {
 	c            *Controller
 	transactions map[string]*placementTransaction // by team; for a team without one the pass only plans
@@ -134,6 +136,9 @@
 		p.reserveAcceleratorsFor(&queue[i])
 	}
 	p.placeRemaining(p.placeInOrder(queue))
+	if p.includeNonCritical && p.ownShards == c.sharded() {
+		p.placeStarved(queue)
+	}
 	if !p.includeNonCritical || p.ownShards {
 		c.provisioner.unmetDemands = previousDemands
 	}
--- a/internal/controller/unmet_demand.go
+++ b/internal/controller/unmet_demand.go
@@ -19,6 +19,7 @@
 	reasonForwarded        = "no machine in this controller's shares has room: handed on"
 	reasonNoGangCapacity   = "not enough machines that fit have room at once"
 	reasonNoCapacity       = "no machine that fits has room"
+	reasonRoomReserved     = "the room that fits is reserved for other tasks"
 )
 
 // unmetDemand is the number of a job's tasks for which the fleet has no room.
@@ -38,7 +39,7 @@
 		job.pendingReason = reasonCrashLoopIdle
 		return
 	}
-	if p.ownShards && p.c.forwardJob(pending, true) {
+	if p.ownShards && !p.c.isStarved(job) && p.c.forwardJob(pending, true) {
 		job.pendingReason = reasonForwarded
 		return
 	}
@@ -90,7 +91,7 @@
 	if count <= 0 {
 		return
 	}
-	if p.ownShards {
+	if p.ownShards && !p.c.isStarved(pending.job) {
 		p.c.forwardJob(pending, false)
 	}
 	p.c.provisioner.unmetDemands = append(p.c.provisioner.unmetDemands,
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -135,7 +135,7 @@
 		s.evaluator.Holds(s.enforced, s.request.Team, host) && s.evaluator.Holds(preferred, s.request.Team, host) {
 		step := 1
 		if !s.request.OneAtATime {
-			step = host.Free.FitCount(s.request.Need, min(count-placed, host.TaskSlots))
+			step = host.FitCount(s.request.Need, count-placed)
 		}
 		if _, ok := s.savedHosts[host]; !ok {
 			s.savedHosts[host] = Host{Free: host.Free, TaskSlots: host.TaskSlots, TaskGroups: slices.Clone(host.TaskGroups)}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -233,3 +233,23 @@
 		}
 	})
 }
+
+// TestReleasedReservationsLeaveNoTrace guards against room that stays occupied by tasks that only kept
+// it: after the release, a host has the room, the slots and the rule counts that it had before.
+func TestReleasedReservationsLeaveNoTrace(t *testing.T) {
+	request := NewRequest(&wire.JobSpec{ID: "wk-000001", Team: "red", Shape: wire.ShapeService, Tasks: 2, Cores: 2, MemGB: 1})
+	host := &Host{ID: "m1", Labels: Tags{LabelZone: "a"}, Total: Resources{Cores: 4, MemGB: 8}, Free: Resources{Cores: 4, MemGB: 8}, TaskSlots: 3}
+	fleet := Fleet{host}
+	host.AddTasks(request.Team, request.Tags, request.Need, 1) // this one is placed
+	before := host.Free
+	assignments := fleet.Choose(request, 1, "", Options{Relax: true})
+	require.Len(t, assignments, 1)
+	host.NoteReservation(request, 1)
+	require.Empty(t, fleet.Choose(request, 1, "", Options{Relax: true}), "the room is reserved")
+	fleet.ReleaseReservations()
+	require.Equal(t, before, host.Free)
+	require.Equal(t, 2, host.TaskSlots)
+	require.Equal(t, 1, host.TaskGroups[0].Count)
+	require.Empty(t, host.Reservations)
+	require.Len(t, fleet.Choose(request, 1, "", Options{Relax: true}), 1, "the room is free again")
+}
--- a/internal/placement/rules.go
+++ b/internal/placement/rules.go
@@ -119,6 +119,9 @@
 	Unschedulable bool
 	// TaskSlots is the number of further tasks that the machine may take.
 	TaskSlots int
+	// Reservations are the tasks on the host that only keep room: they are counted in Free,
+	// TaskSlots and TaskGroups like other tasks, but are not being placed.
+	Reservations []Reservation
 	// Images holds the images that the machine is known to have.
 	Images map[string]bool
 	// PullingImages is the number of images that the machine is pulling. They share its
@@ -134,6 +137,33 @@
 // hasRoomFor reports whether the host has room for one more task that needs these resources.
 func (h *Host) hasRoomFor(need Resources) bool { return h.TaskSlots > 0 && h.Free.Covers(need) }
 
+// FitCount returns the number of further tasks with this need, at most limit, that the host has
+// room for.
+func (h *Host) FitCount(need Resources, limit int) int {
+	return h.Free.FitCount(need, min(limit, h.TaskSlots))
+}
+
+// Reservation is room that is kept for a number of tasks of one request.
+type Reservation struct {
+	Request *Request
+	Count   int
+}
+
+// NoteReservation records that count tasks of the request, which were added to the host, only
+// keep room there.
+func (h *Host) NoteReservation(request *Request, count int) {
+	h.Reservations = append(h.Reservations, Reservation{request, count})
+}
+
+// releaseReservations removes the tasks that only keep room from the host.
+func (h *Host) releaseReservations() {
+	for _, reservation := range h.Reservations {
+		request := reservation.Request
+		h.AddTasks(request.Team, request.Tags, request.Need, -reservation.Count)
+	}
+	h.Reservations = nil
+}
+
 // AddTasks adds count tasks, each of which needs the given resources, to the host.
 func (h *Host) AddTasks(team string, tags Tags, need Resources, count int) {
 	h.Free = h.Free.Plus(need, -float64(count))
@@ -164,6 +194,14 @@
 // other machines that grouped rules read.
 type Fleet []*Host
 
+// ReleaseReservations makes all room available that is kept for tasks which are not being placed.
+// Rankings made before are no longer valid.
+func (f Fleet) ReleaseReservations() {
+	for _, host := range f {
+		host.releaseReservations()
+	}
+}
+
 // Holds reports whether all rules hold for a task of the team on the host.
 func (f Fleet) Holds(rules []RuleTree, team string, host *Host) bool {
 	return f.NewEvaluator(nil).Holds(rules, team, host)
