Machines with accelerators are reserved only where a waiting job could get some

Cause: reserveAcceleratorsFor set one flag for the whole pass, and hasReservedAccelerators asked only whether a machine has accelerators at all, not whether the room can serve the job that waits.

Change: a machine is reserved while accelerators of it are free, are being freed, or are used by tasks that a waiting job could evict.

--- a/internal/controller/job_placement.go
+++ b/internal/controller/job_placement.go
@@ -76,7 +76,7 @@
 		options.Usable = func(host *placement.Host) bool {
 			until, avoided := job.crashLoop.avoidMachines[host.ID]
 			return (!avoided || c.isDue(until)) &&
-				!(avoidsAccelerators && p.hasReservedAccelerators(host)) &&
+				!(avoidsAccelerators && p.accelerators[host]) &&
 				!(avoidsExpensive && c.abovePriceLimit(c.fleet.machines[host.ID]))
 		}
 	}
--- a/internal/controller/scheduling_pass.go
+++ b/internal/controller/scheduling_pass.go
@@ -14,7 +14,7 @@
 //
 // newSchedulingPass builds the hosts. The method run then takes these steps in order:
 //
-//  1. It orders the pending jobs and determines which accelerators to reserve.
+//  1. It orders the pending jobs and reserves machines with accelerators.
 //  2. It places the critical jobs, and then reserves headroom.
 //  3. It places all other jobs. Those that prefer a cached image are placed only on machines that
 //     have the image.
@@ -37,12 +37,8 @@
 	unsatisfiable map[searchKey][]placement.Resources
 	// rankings holds ranked candidates, shared by all searches with the same key.
 	rankings map[rankingKey]*placement.Ranking
-	// reserveAccelerators is set if a pending job needs accelerators, reserveSpotAccelerators
-	// if such a job may also use spot machines. Less urgent jobs that need no accelerators then
-	// avoid the machines that have some. Otherwise another controller would place them again on
-	// each machine from which they were just evicted, and a gang would never find enough
-	// accelerators at once.
-	reserveAccelerators, reserveSpotAccelerators bool
+	// accelerators holds the machines that are reserved for pending jobs that need accelerators.
+	accelerators map[*placement.Host]bool
 	// gatheringZones holds the zones in which capacity is being gathered for a job, at most one
 	// job per zone.
 	gatheringZones map[string]bool
@@ -132,9 +128,7 @@
 	c.scheduler.criticalPending = len(queue) > 0 && queue[0].job.spec.Priority == wire.PriorityCritical
 	previousDemands := c.provisioner.unmetDemands
 	c.provisioner.unmetDemands = nil
-	for i := range queue {
-		p.reserveAcceleratorsFor(&queue[i])
-	}
+	p.reserveAccelerators(queue)
 	p.placeRemaining(p.placeInOrder(queue))
 	if p.includeNonCritical && p.ownShards == c.sharded() {
 		p.placeStarved(queue)
@@ -184,25 +178,3 @@
 	return pending.job.spec.Priority.Level() >= wire.PriorityNormal.Level() && !pending.overdue && !pending.guaranteed &&
 		hasPlainConstraints(pending.job) && p.c.imagePullIsSlow(pending.job)
 }
-
-// reserveAcceleratorsFor reserves the machines with accelerators if a pending job needs some. It
-// must be called before any job is placed: less urgent jobs within a guarantee are placed before
-// urgent jobs beyond one, and would otherwise take these machines without needing accelerators.
-func (p *schedulingPass) reserveAcceleratorsFor(pending *pendingJob) {
-	job := pending.job
-	if job.request.Need.Accelerators > 0 && job.mayPreempt() && p.tasksWithinLimit(pending) > 0 {
-		p.reserveAccelerators = true
-		p.reserveSpotAccelerators = p.reserveSpotAccelerators || job.spec.Spot
-	}
-}
-
-// avoidsAccelerators reports whether a job must avoid the machines with reserved accelerators.
-func (p *schedulingPass) avoidsAccelerators(job *job) bool {
-	return p.reserveAccelerators && job.request.Need.Accelerators == 0 && job.spec.Priority.Level() > wire.PriorityHigh.Level()
-}
-
-// hasReservedAccelerators reports whether a machine is reserved for jobs that need accelerators,
-// provided that reserveAccelerators is set.
-func (p *schedulingPass) hasReservedAccelerators(host *placement.Host) bool {
-	return host.Total.Accelerators > 0 && (p.reserveSpotAccelerators || host.Labels[placement.LabelSpot] != "true")
-}
--- a/internal/controller/unmet_demand.go
+++ b/internal/controller/unmet_demand.go
@@ -71,7 +71,7 @@
 	}
 	usable := func(*placement.Host) bool { return true }
 	if p.avoidsAccelerators(job) {
-		usable = func(host *placement.Host) bool { return !p.hasReservedAccelerators(host) }
+		usable = func(host *placement.Host) bool { return !p.accelerators[host] }
 	}
 	rules := job.request.Enforced
 	if p.c.operator.values.Affinity == config.AffinityEnforced {
--- a/internal/simulation/starvation_test.go
+++ b/internal/simulation/starvation_test.go
@@ -73,7 +73,8 @@
 }
 
 // TestJobUsesRoomOfBusyAccelerators guards against a job that waits beside room on a machine whose
-// accelerators are all in use, because another job waits for accelerators.
+// accelerators are all in use, because another job waits for accelerators. That room is of no use to the
+// other job, so it is not reserved at all.
 func TestJobUsesRoomOfBusyAccelerators(t *testing.T) {
 	for seed := range uint64(4) {
 		cluster := newStarvationCluster(seed, machineTypes[1])
@@ -83,7 +84,10 @@
 			cluster.Submit(gang, 10*time.Minute)
 			cluster.Run(5 * time.Second)
 		}
-		requireStartsBesideRoom(t, cluster, smallJob(1, wire.PriorityNormal), seed)
+		small := smallJob(1, wire.PriorityNormal)
+		requireStartsBesideRoom(t, cluster, small, seed)
+		delay, _ := cluster.StartDelay(small.ID)
+		require.Less(t, delay, 10*time.Second, "seed %d: the room is reserved", seed)
 	}
 }
 
