--- a/internal/simulation/starvation_test.go
+++ b/internal/simulation/starvation_test.go
@@ -179,3 +179,26 @@
 		require.Empty(t, cluster.Violations, "seed %d", seed)
 	}
 }
+
+// TestJobRetriesOnOnlyMachineAfterFailure guards against a job that is kept from the only machine that
+// fits for minutes, because one task of it failed there.
+func TestJobRetriesOnOnlyMachineAfterFailure(t *testing.T) {
+	for seed := range uint64(4) {
+		cluster := newStarvationCluster(seed, machineTypes[0], machineTypes[0])
+		base, _ := testJob(1, 1)
+		base.Tasks, base.Zone = 1, zones[0] // keeps the machine from being terminated as idle
+		cluster.Submit(base, 0)
+		cluster.Run(5 * time.Second)
+		service, _ := testJob(3, 1)
+		service.Tasks, service.Zone = 1, zones[0]
+		cluster.machines[0].faulty = true
+		cluster.Submit(service, 0)
+		cluster.Run(4 * time.Second)
+		cluster.machines[0].faulty = false
+		require.Positive(t, cluster.jobs[service.ID].launches, "seed %d", seed)
+		cluster.FaultsOverAt = cluster.Now()
+		cluster.Run(maxStarvation)
+		require.Len(t, cluster.jobs[service.ID].active(), 1, "seed %d: the service does not run again", seed)
+		require.Empty(t, cluster.Violations, "seed %d", seed)
+	}
+}
