A worker that restarted without its memory is fenced before it is answered

What users saw (on a service like this one): a task ran on two machines, and a cancelled task ran again, when a late copy of a start command reached a machine that had come back within a second.

A controller renewed its lease with the present token, whatever its report said, and from then on the worker obeyed copies with that token. Its reports counted as older than those of before, so nobody saw what the copies started.

Change: an answer to a call that is not newer than what was known at the call proves a restart. The token is raised, and until the worker has seen it, it gets no commands and no lease with an earlier token; messages with that token count as newer than all others, and allocations of the earlier epochs leave the records.

--- a/internal/controller/command_calls.go
+++ b/internal/controller/command_calls.go
@@ -15,7 +15,7 @@
 // reports whether it made the call.
 func (c *Controller) sendCommands(machine *machine) bool {
 	if !c.membership.ready || machine.latestHeartbeat == nil || machine.scaling.terminated ||
-		machine.reconciliation.callInFlight || !c.isDue(machine.reconciliation.nextSend) {
+		machine.awaitsRestartFence() || machine.reconciliation.callInFlight || !c.isDue(machine.reconciliation.nextSend) {
 		return false
 	}
 	request := c.commandRequest(machine)
@@ -25,12 +25,12 @@
 	machine.reconciliation.callInFlight = true
 	c.fleet.commandCallsInFlight++
 	machine.reconciliation.nextSend = c.now.Add(commandRetryInterval)
-	calledAt := c.now
+	calledAt, known := c.now, machine.latestHeartbeat
 	c.emit(SendCommands{registerCall(c, func(response WorkerResponse) {
 		machine.reconciliation.callInFlight = false
 		c.fleet.commandCallsInFlight--
 		machine.liveness.noteCallResult(calledAt, c.fleet.reachableSince, response.Heartbeat != nil)
-		c.applyWorkerResponse(machine, response)
+		c.applyWorkerResponse(machine, known, response)
 		if machine.reconciliation.resend {
 			c.sendCommandsNow(machine)
 		}
--- a/internal/controller/completed_tasks.go
+++ b/internal/controller/completed_tasks.go
@@ -83,7 +83,7 @@
 			return completedTaskState{recorded: true, active: true, launchable: true}
 		}
 		state.recorded = true
-		if machine.latestHeartbeat.AgentEpoch > allocation.AgentEpoch || machine.scaling.terminated {
+		if machine.isOfLaterEpoch(machine.latestHeartbeat, allocation) || machine.scaling.terminated {
 			continue // the agent epoch of the allocation is over, and its launches are valid in no other
 		}
 		state.addTasks(machine, allocation)
--- a/internal/controller/failure_detector.go
+++ b/internal/controller/failure_detector.go
@@ -205,7 +205,7 @@
 	machine.liveness.nextProbe = c.now.Add(probeInterval)
 	c.fleet.probesInFlight++
 	c.metrics.count(countProbes, 1)
-	calledAt := c.now
+	calledAt, known := c.now, machine.latestHeartbeat
 	c.emit(RequestHeartbeat{registerCall(c, func(response WorkerResponse) {
 		machine.liveness.probing = false
 		c.fleet.probesInFlight--
@@ -213,7 +213,7 @@
 			machine.liveness.unansweredProbes++
 		}
 		machine.liveness.noteCallResult(calledAt, c.fleet.reachableSince, response.Heartbeat != nil)
-		c.applyWorkerResponse(machine, response)
+		c.applyWorkerResponse(machine, known, response)
 	}), machine.addr})
 }
 
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -35,6 +35,9 @@
 	reachableSince        Time // when direct heartbeats resumed after isolation was last suspected
 	nextReachabilityProbe Time
 
+	restartedWorkers    []*machine // machines that wait for the token to be raised after a restart of their worker
+	raisingRestartFence bool
+
 	nextReview       Time
 	lastTokenRaiseAt Time // when the token was last raised for the cleanup of exited tasks
 	timers           []timer
@@ -59,17 +62,20 @@
 	f.timers = append(f.timers, timer{at, run})
 }
 
-// runTimers runs and removes the timers that are due.
+// runTimers removes the timers that are due and runs them. They may add others.
 func (f *fleet) runTimers(now Time) {
-	kept := f.timers[:0]
+	var due, kept []timer
 	for _, timer := range f.timers {
 		if now >= timer.at {
-			timer.run()
+			due = append(due, timer)
 		} else {
 			kept = append(kept, timer)
 		}
 	}
 	f.timers = kept
+	for _, timer := range due {
+		timer.run()
+	}
 }
 
 // ordered returns the machines in the order of their IDs. The caller must not modify the slice.
--- a/internal/controller/heartbeat_response.go
+++ b/internal/controller/heartbeat_response.go
@@ -32,6 +32,15 @@
 		c.rejectHeartbeat(in.Request, heartbeatWhileStarting)
 		return
 	}
+	if c.refusesRestartedWorker(in.Heartbeat) {
+		c.respondOnceFenced(in, c.now.Add(renewalWait))
+		return
+	}
+	c.handleHeartbeatOfFencedWorker(in)
+}
+
+// handleHeartbeatOfFencedWorker answers a worker that no command from before a restart can reach.
+func (c *Controller) handleHeartbeatOfFencedWorker(in HeartbeatReceived) {
 	if in.Heartbeat.Token <= c.cache.token {
 		c.handleHeartbeatWithKnownToken(in)
 		return
@@ -99,6 +108,7 @@
 // The reasons of heartbeatRefusal.
 var (
 	heartbeatWhileStarting         = heartbeatRefusal{"starting", "starting"}
+	heartbeatOfRestartedWorker     = heartbeatRefusal{"worker_restarted", "the worker may have restarted"}
 	heartbeatCancellationsNotKnown = heartbeatRefusal{"cancellations_not_known", "withdrawals may not be known"}
 )
 
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -47,7 +47,8 @@
 	if direct {
 		c.noteDirectHeartbeat(machine, heartbeat)
 	}
-	if machine.latestHeartbeat != nil && !heartbeat.Newer(machine.latestHeartbeat) {
+	if machine.latestHeartbeat != nil && !machine.newer(heartbeat, machine.latestHeartbeat) {
+		c.noteRestartSeenByPeer(machine, heartbeat)
 		return
 	}
 	before, first := machine.tasks, machine.latestHeartbeat == nil
@@ -75,7 +76,7 @@
 	}
 	c.fleet.lastDirectHeartbeatAt = c.now
 	c.gossip.pendingMachines[machine.id] = true
-	if machine.directHeartbeat != nil && !heartbeat.Newer(machine.directHeartbeat) {
+	if machine.directHeartbeat != nil && !machine.newer(heartbeat, machine.directHeartbeat) {
 		return
 	}
 	if machine.directHeartbeat == nil || !sameStatus(machine.directHeartbeat, heartbeat) {
@@ -175,14 +176,16 @@
 	}
 }
 
-// applyWorkerResponse applies the heartbeat with which a worker answered a direct call. A
+// applyWorkerResponse applies the heartbeat with which a worker answered a direct call. known was the
+// machine's latest heartbeat when the call was made. A
 // worker refuses commands with a lower fencing token than the highest that it has seen. If
 // its token is not known here yet, the cache is refreshed to get the token and everything
 // that was written before it.
-func (c *Controller) applyWorkerResponse(machine *machine, response WorkerResponse) {
+func (c *Controller) applyWorkerResponse(machine *machine, known *wire.Heartbeat, response WorkerResponse) {
 	if response.Heartbeat == nil || response.Heartbeat.Machine != machine.id {
 		return
 	}
+	c.noteAnswer(machine, known, response.Heartbeat)
 	c.applyHeartbeat(response.Heartbeat, true)
 	if response.Heartbeat.Token > c.cache.token {
 		c.refreshCache()
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -40,6 +40,7 @@
 	tasks, directTasks               map[attemptKey]*wire.TaskStatus
 
 	liveness       liveness
+	restart        workerRestart
 	reconciliation reconciliation
 	scaling        scaling
 	images         imageCache
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -42,6 +42,7 @@
 	countNoCapacity                   = "hires_without_capacity"
 	countPeerRedirects                = "workers_sent_on"
 	countProbes                       = "workers_asked"
+	countWorkerRestarts               = "workers_restarted"
 	countRenewalsSuspended            = "answers_held_back_spells"
 	countSchedulingPasses             = "planning_passes"
 	countPagesReviewed                = "records_searched_for_proofs"
--- a/internal/controller/task_exits.go
+++ b/internal/controller/task_exits.go
@@ -82,7 +82,7 @@
 	machine := allocation.host
 	heartbeat := machine.directHeartbeat
 	// A worker in a new agent epoch obeys no command that was meant for an earlier one.
-	if machine.scaling.terminated || heartbeat != nil && heartbeat.AgentEpoch > allocation.AgentEpoch {
+	if machine.scaling.terminated || heartbeat != nil && machine.isOfLaterEpoch(heartbeat, allocation) {
 		c.removeTasks(txn, page, allocation, allocation.Tasks, record.TaskSet{})
 		return true
 	}
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -47,6 +47,12 @@
 	// ReplayedHeartbeats is the rate of the heartbeats of which a copy is replayed to all
 	// controllers when the next controller starts.
 	ReplayedHeartbeats float64
+	// CopiedDirectCalls is the rate of the controllers' calls to workers that are carried out once
+	// more, up to maxCopiedCallDelay later, at the machine that has the address by then.
+	CopiedDirectCalls float64
+	// SpareUnansweredWorkers drops such copies at workers that have not been answered yet since
+	// they started, and so have seen no token.
+	SpareUnansweredWorkers bool
 	// DropDirectCalls drops all calls of controllers to workers.
 	DropDirectCalls bool
 
--- a/internal/simulation/machines.go
+++ b/internal/simulation/machines.go
@@ -130,6 +130,11 @@
 // terminate ends the machine and its tasks.
 func (m *fakeMachine) terminate() {
 	m.terminated, m.terminatedAt = true, m.cluster.now
+	m.endTasks()
+}
+
+// endTasks ends all tasks of the machine without a report.
+func (m *fakeMachine) endTasks() {
 	for _, task := range m.sortedTasks() {
 		job := m.cluster.jobs[task.id.Job]
 		if task.active && job.spec.Shape == wire.ShapeGang && task.state != wire.TaskWaiting {
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -99,6 +99,7 @@
 	if c.rng.Float64() < c.MessageLoss/2 {
 		c.after(c.randomDelay(maxRequestDelay), deliver)
 	}
+	c.copyDirectCall(addr, execute)
 }
 
 // reachesWorker reports whether a direct call of a controller reaches the worker of a
--- a/internal/simulation/observations.go
+++ b/internal/simulation/observations.go
@@ -48,6 +48,9 @@
 	machineUnreachable         Observation = "machine unreachable"
 	machineDied                Observation = "machine died"
 	machineInNewEpoch          Observation = "machine in a new agent epoch"
+	workerRestarted            Observation = "worker restarted"
+	directCallCopied           Observation = "direct call copied"
+	launchedByCopy             Observation = "task launched by a copy"
 )
 
 // Observations of shards.
