--- a/internal/simulation/starvation_test.go
+++ b/internal/simulation/starvation_test.go
@@ -157,10 +157,10 @@
 	}
 }
 
-// TestGangStartsBesideStarvedJobs guards against a gang that never starts because jobs that have
-// waited for long take every piece of the room that is reserved for it, and against such jobs that
-// wait for the gang for too long. There are always more small jobs than room.
-func TestGangStartsBesideStarvedJobs(t *testing.T) {
+// checkGangBesideSmallJobs runs more small jobs than there is room for, and requires that a gang that
+// needs all machines starts within four minutes, and that no job waits beside room for too long.
+func checkGangBesideSmallJobs(t *testing.T, tasks int, cores float64) {
+	t.Helper()
 	for seed := range uint64(4) {
 		cluster := newStarvationCluster(seed, machineTypes[0], machineTypes[0], machineTypes[0], machineTypes[0])
 		for n := range 200 {
@@ -169,7 +169,7 @@
 			cluster.At(time.Duration(n)*2*time.Second, func() { cluster.Submit(spec, 20*time.Second) })
 		}
 		gang, _ := testJob(1000, 2)
-		gang.Tasks, gang.Cores, gang.SingleZone, gang.Spot, gang.Priority = 8, 2, false, false, wire.PriorityNormal
+		gang.Tasks, gang.Cores, gang.SingleZone, gang.Spot, gang.Priority = tasks, cores, false, false, wire.PriorityNormal
 		cluster.At(40*time.Second, func() { cluster.Submit(gang, 20*time.Second) })
 		cluster.FaultsOverAt = time.Second
 		cluster.Run(40*time.Second + 4*time.Minute)
@@ -180,6 +180,15 @@
 	}
 }
 
+// TestGangStartsBesideStarvedJobs guards against a gang that never starts because jobs that have
+// waited for long take every piece of the room that is reserved for it, and against such jobs that
+// wait for the gang for too long.
+func TestGangStartsBesideStarvedJobs(t *testing.T) { checkGangBesideSmallJobs(t, 8, 2) }
+
+// TestGangOfWholeMachinesStarts guards against a gang of which each task needs a whole machine and that
+// never starts, because a machine with only some room is not reserved for it.
+func TestGangOfWholeMachinesStarts(t *testing.T) { checkGangBesideSmallJobs(t, 4, 4) }
+
 // TestJobRetriesOnOnlyMachineAfterFailure guards against a job that is kept from the only machine that
 // fits for minutes, because one task of it failed there.
 func TestJobRetriesOnOnlyMachineAfterFailure(t *testing.T) {
