The raise of the token for a restarted worker is repeated until it succeeds

Cause: a raise that lost against another controller's, or found the state store away, was repeated only when the worker's next report reached the same controller. A task of a machine whose address was reused could wait for that report for ever, if the reports go to another controller.

Found by reading; TestRestartedWorkerIsFencedAfterStoreOutage passes before and after, since there the worker reports to all controllers in turn.

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -39,6 +39,7 @@
 
 	restartedWorkers    []*machine // machines that wait for the token to be raised after a restart of their worker
 	raisingRestartFence bool
+	nextRestartFence    Time // earliest time of the next raise, after one that failed
 
 	nextReview       Time
 	lastTokenRaiseAt Time // when the token was last raised for the cleanup of exited tasks
@@ -174,6 +175,7 @@
 // tickFleet runs the timers and, at intervals, reviews all machines.
 func (c *Controller) tickFleet() {
 	c.fleet.runTimers(c.now)
+	c.raiseRestartFence()
 	if !c.isDue(c.fleet.nextReview) {
 		return
 	}
--- a/internal/controller/worker_restarts.go
+++ b/internal/controller/worker_restarts.go
@@ -76,7 +76,6 @@
 // and rejects the heartbeat after the deadline. Until the worker is answered, it obeys late copies of
 // commands, so it is not sent to another controller.
 func (c *Controller) respondOnceFenced(in HeartbeatReceived, deadline Time) {
-	c.raiseRestartFence()
 	c.fleet.addTimer(c.now.Add(TickInterval), func() {
 		switch {
 		case !c.refusesRestartedWorker(in.Heartbeat):
@@ -123,9 +122,11 @@
 }
 
 // raiseRestartFence raises the fencing token for all workers that wait for it. It does nothing while a
-// raise is under way or the state store cannot be reached.
+// raise is under way or the state store cannot be reached. The raise fails if another controller raises
+// the token meanwhile, and is then repeated.
 func (c *Controller) raiseRestartFence() {
-	if len(c.fleet.restartedWorkers) == 0 || c.fleet.raisingRestartFence || !c.storeReachable() || !c.cache.complete() {
+	if len(c.fleet.restartedWorkers) == 0 || c.fleet.raisingRestartFence || !c.isDue(c.fleet.nextRestartFence) ||
+		!c.storeReachable() || !c.cache.complete() {
 		return
 	}
 	c.fleet.raisingRestartFence = true
@@ -141,6 +142,8 @@
 				machine.restart = workerRestart{fence: fence}
 			}
 			c.fleet.restartedWorkers = slices.Clone(c.fleet.restartedWorkers[len(fenced):])
+		} else {
+			c.fleet.nextRestartFence = c.now.Add(commitRetryDelay)
 		}
 		c.refreshCache()
 	})
--- a/internal/simulation/late_copies_test.go
+++ b/internal/simulation/late_copies_test.go
@@ -169,6 +169,24 @@
 	}
 }
 
+// TestRestartedWorkerIsFencedAfterStoreOutage guards against a worker that is never answered, because the
+// state store was unavailable when the fencing token was to be raised for it.
+func TestRestartedWorkerIsFencedAfterStoreOutage(t *testing.T) {
+	for seed := range uint64(4) {
+		launched := startLaunchedTask(t, seed, time.Hour, nil)
+		cluster, machine := launched.cluster, launched.machine
+		cluster.At(100*time.Millisecond, func() { cluster.injectStoreOutage(6 * time.Second) })
+		cluster.At(200*time.Millisecond, machine.restartWorker)
+		cluster.Run(15 * time.Second)
+		require.Positive(t, machine.token, "seed %d: the worker was not answered", seed)
+		require.False(t, machine.handleCommands(launched.launch).Executed, "seed %d: the copy was carried out", seed)
+		cluster.FaultsOverAt = cluster.Now()
+		cluster.Run(maxStarvation)
+		require.Len(t, cluster.jobs[launched.spec.ID].active(), 1, "seed %d", seed)
+		require.Empty(t, cluster.Violations, "seed %d", seed)
+	}
+}
+
 // TestLateCopyReachesReusedAddress guards against a copy of a launch that is carried out by another
 // machine, which has got the address of the machine that it was meant for.
 func TestLateCopyReachesReusedAddress(t *testing.T) {
