One rule for what a pending job may evict, also where accelerators are reserved

evictableAccelerators had the rule of preemptable once more, with two differences: it took tasks beyond the guarantee of the job's own team for evictable, and counted tasks that are being evicted, which Freeing counts already. Both call outranks now.

Behaviour: a machine with accelerators is reserved in slightly fewer cases, namely not for tasks that could not be evicted anyway. Found by reading; no test showed the difference.

--- a/internal/controller/accelerators.go
+++ b/internal/controller/accelerators.go
@@ -2,6 +2,7 @@
 
 import (
 	"lilacrill/internal/placement"
+	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -47,15 +48,13 @@
 	return false
 }
 
-// evictableAccelerators returns the accelerators of a machine that are used by tasks of lower priority
-// than a pending job, or beyond their team's quota guarantee if the job is within its own.
+// evictableAccelerators returns the accelerators of a machine that are used by tasks which a pending job
+// outranks and which are not being evicted yet.
 func (p *schedulingPass) evictableAccelerators(host *placement.Host, pending *pendingJob) float64 {
 	evictable := 0.0
 	for _, allocation := range p.c.fleet.allocationsOn(host.ID) {
-		lowerPriority := allocation.Priority > pending.job.spec.Priority.Level()
-		beyondGuarantee := pending.guaranteed && !p.c.scheduler.guaranteedJobs[allocation.Job] &&
-			allocation.Priority >= wire.PriorityNormal.Level()
-		if lowerPriority || beyondGuarantee {
+		job := p.c.cache.jobs[allocation.Job]
+		if job != nil && allocation.Eviction == record.EvictionNone && p.c.outranks(pending, allocation, job) {
 			evictable += allocation.Accelerators * float64(allocation.Tasks.Len())
 		}
 	}
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -100,16 +100,22 @@
 	if priority > wire.PriorityCritical.Level() && c.rescuedFromStarvation(job) {
 		return false
 	}
-	hasLowerPriority := allocation.Priority > priority
-	isBeyondGuarantee := pending.guaranteed && !c.scheduler.guaranteedJobs[allocation.Job] &&
-		job.spec.Team != pending.job.spec.Team && allocation.Priority >= wire.PriorityNormal.Level()
-	if !hasLowerPriority && !isBeyondGuarantee {
+	if !c.outranks(pending, allocation, job) {
 		return false
 	}
 	txn := transactions[job.spec.Team]
 	return txn != nil && txn.hasCapacityFor(evictionOperations)
 }
 
+// outranks reports whether a pending job has a higher priority than an allocation of another job, or is
+// within its team's quota guarantee while the allocation is beyond that of another team.
+func (c *Controller) outranks(pending *pendingJob, allocation *Allocation, job *job) bool {
+	hasLowerPriority := allocation.Priority > pending.job.spec.Priority.Level()
+	isBeyondGuarantee := pending.guaranteed && !c.scheduler.guaranteedJobs[allocation.Job] &&
+		job.spec.Team != pending.job.spec.Team && allocation.Priority >= wire.PriorityNormal.Level()
+	return hasLowerPriority || isBeyondGuarantee
+}
+
 // victim is a set of tasks of one allocation that are chosen for eviction.
 type victim struct {
 	allocation *Allocation
