One place each for answers of workers, raises of the token and starved jobs

No change of behaviour. Probes and commands handle a worker's response by handleWorkerResponse, which stood twice; noteTakenOverAddress fences and notes the owner, which stood twice; commitTokenRaise serves the clean-up and the fence after a restart; forwardJob keeps starved jobs, where two callers did. noteRestartSeenByPeer no longer repeats the check of its caller.

In late_copies_test.go two tests shared their last five assertions, which are requireCopyRefused now: the same assertions for both, written once.

--- a/internal/controller/addresses.go
+++ b/internal/controller/addresses.go
@@ -22,26 +22,17 @@
 	return f.addressOwners[machine.addr] > machine.id
 }
 
-// takesOverAddress reports whether a heartbeat is the first of a machine at an address that an earlier
-// machine had. Commands that were meant for the earlier machine may still arrive there.
-func (c *Controller) takesOverAddress(heartbeat *wire.Heartbeat) bool {
+// noteTakenOverAddress fences a worker if a heartbeat is the first of its machine, at an address that an
+// earlier machine had, and reports whether it is. Commands that were meant for the earlier machine may
+// still arrive there.
+func (c *Controller) noteTakenOverAddress(heartbeat *wire.Heartbeat) bool {
 	machine := c.machine(heartbeat.Machine)
 	owner := c.fleet.addressOwners[heartbeat.Addr]
-	return machine.latestHeartbeat == nil && !machine.awaitsRestartFence() && owner != "" && owner < heartbeat.Machine
-}
-
-// noteAnswerOfOther notes the machine that answered a call which was meant for another machine, and
-// reports whether there was such an answer.
-func (c *Controller) noteAnswerOfOther(machine *machine, answer *wire.Heartbeat) bool {
-	if answer == nil || answer.Machine == machine.id {
+	if machine.latestHeartbeat != nil || machine.awaitsRestartFence() || owner == "" || owner >= machine.id {
 		return false
 	}
-	if !c.takesOverAddress(answer) {
-		c.fleet.noteAddress(answer.Addr, answer.Machine)
-		return true
-	}
-	c.fleet.noteAddress(answer.Addr, answer.Machine)
-	c.fenceWorker(c.machine(answer.Machine))
+	c.fleet.noteAddress(heartbeat.Addr, machine.id)
+	c.fenceWorker(machine)
 	return true
 }
 
--- a/internal/controller/command_calls.go
+++ b/internal/controller/command_calls.go
@@ -15,7 +15,8 @@
 // reports whether it made the call.
 func (c *Controller) sendCommands(machine *machine) bool {
 	if !c.membership.ready || machine.latestHeartbeat == nil || machine.scaling.terminated ||
-		machine.awaitsRestartFence() || c.fleet.addressReused(machine) || machine.reconciliation.callInFlight || !c.isDue(machine.reconciliation.nextSend) {
+		machine.awaitsRestartFence() || c.fleet.addressReused(machine) ||
+		machine.reconciliation.callInFlight || !c.isDue(machine.reconciliation.nextSend) {
 		return false
 	}
 	request := c.commandRequest(machine)
@@ -29,9 +30,7 @@
 	c.emit(SendCommands{registerCall(c, func(response WorkerResponse) {
 		machine.reconciliation.callInFlight = false
 		c.fleet.commandCallsInFlight--
-		answered := response.Heartbeat != nil && !c.noteAnswerOfOther(machine, response.Heartbeat)
-		machine.liveness.noteCallResult(calledAt, c.fleet.reachableSince, answered)
-		c.applyWorkerResponse(machine, known, response)
+		c.handleWorkerResponse(machine, calledAt, known, response)
 		if machine.reconciliation.resend {
 			c.sendCommandsNow(machine)
 		}
--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -263,8 +263,17 @@
 		return
 	}
 	c.fleet.lastTokenRaiseAt = c.now
-	c.commit(PriorityBackground, wire.Transaction{
+	c.commitTokenRaise(PriorityBackground, func(CommitResult) {})
+}
+
+// commitTokenRaise raises the fencing token by one, unless another controller has raised it meanwhile,
+// and refreshes the cache afterwards.
+func (c *Controller) commitTokenRaise(priority CallPriority, then func(CommitResult)) {
+	c.commit(priority, wire.Transaction{
 		If:   []wire.Condition{{Key: record.FencingTokenKey, Version: c.cache.keyVersions[record.FencingTokenKey]}},
 		Then: []wire.Change{c.putChange(record.FencingTokenKey, c.cache.token+1)},
-	}, func(CommitResult) { c.refreshCache() })
+	}, func(result CommitResult) {
+		then(result)
+		c.refreshCache()
+	})
 }
--- a/internal/controller/failure_detector.go
+++ b/internal/controller/failure_detector.go
@@ -209,12 +209,9 @@
 	c.emit(RequestHeartbeat{registerCall(c, func(response WorkerResponse) {
 		machine.liveness.probing = false
 		c.fleet.probesInFlight--
-		answered := response.Heartbeat != nil && !c.noteAnswerOfOther(machine, response.Heartbeat)
-		if !answered {
+		if !c.handleWorkerResponse(machine, calledAt, known, response) {
 			machine.liveness.unansweredProbes++
 		}
-		machine.liveness.noteCallResult(calledAt, c.fleet.reachableSince, answered)
-		c.applyWorkerResponse(machine, known, response)
 	}), machine.addr})
 }
 
--- a/internal/controller/forwarding.go
+++ b/internal/controller/forwarding.go
@@ -80,10 +80,11 @@
 // forwardJob forwards a job for which this controller has no capacity. The target is a controller
 // that offers capacity for the job or, unless offeredOnly is set, a controller that could evict less
 // urgent tasks for it. If there is no such controller and offeredOnly is not set, the job returns to
-// the owner of its team. forwardJob reports whether it has forwarded the job.
+// the owner of its team. A starved job stays, since there is reserved room for it here. forwardJob
+// reports whether it has forwarded the job.
 func (c *Controller) forwardJob(pending *pendingJob, offeredOnly bool) bool {
 	job := pending.job
-	if !c.schedulesJob(job) || !c.isDue(job.nextForward) || len(c.forwarding.outgoing) >= maxForwardsPerMessage {
+	if !c.schedulesJob(job) || c.isStarved(job) || !c.isDue(job.nextForward) || len(c.forwarding.outgoing) >= maxForwardsPerMessage {
 		return false
 	}
 	tried := []string{c.settings.Label}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -177,18 +177,30 @@
 	}
 }
 
-// applyWorkerResponse applies the heartbeat with which a worker answered a direct call. known was the
-// machine's latest heartbeat when the call was made. A
-// worker refuses commands with a lower fencing token than the highest that it has seen. If
-// its token is not known here yet, the cache is refreshed to get the token and everything
-// that was written before it.
-func (c *Controller) applyWorkerResponse(machine *machine, known *wire.Heartbeat, response WorkerResponse) {
-	if response.Heartbeat == nil || response.Heartbeat.Machine != machine.id {
-		return
-	}
-	c.noteAnswer(machine, known, response.Heartbeat)
-	c.applyHeartbeat(response.Heartbeat, true)
-	if response.Heartbeat.Token > c.cache.token {
+// handleWorkerResponse handles the response to a direct call to a machine, or its lack, and reports
+// whether the machine answered. calledAt is the time of the call, and known was the machine's latest
+// heartbeat then. The answer of another machine, which has the address by now, is none.
+func (c *Controller) handleWorkerResponse(machine *machine, calledAt Time, known *wire.Heartbeat, response WorkerResponse) bool {
+	answer := response.Heartbeat
+	answered := answer != nil && answer.Machine == machine.id
+	if answer != nil && !answered && !c.noteTakenOverAddress(answer) {
+		c.fleet.noteAddress(answer.Addr, answer.Machine)
+	}
+	machine.liveness.noteCallResult(calledAt, c.fleet.reachableSince, answered)
+	if answered {
+		c.applyAnswer(machine, known, answer)
+	}
+	return answered
+}
+
+// applyAnswer applies the heartbeat with which a worker answered a direct call. known was the machine's
+// latest heartbeat when the call was made. A worker refuses commands with a lower fencing token than the
+// highest that it has seen. If its token is not known here yet, the cache is refreshed to get the token
+// and everything that was written before it.
+func (c *Controller) applyAnswer(machine *machine, known, answer *wire.Heartbeat) {
+	c.noteAnswer(machine, known, answer)
+	c.applyHeartbeat(answer, true)
+	if answer.Token > c.cache.token {
 		c.refreshCache()
 	}
 }
--- a/internal/controller/unmet_demand.go
+++ b/internal/controller/unmet_demand.go
@@ -39,7 +39,7 @@
 		job.pendingReason = reasonCrashLoopIdle
 		return
 	}
-	if p.ownShards && !p.c.isStarved(job) && p.c.forwardJob(pending, true) {
+	if p.ownShards && p.c.forwardJob(pending, true) {
 		job.pendingReason = reasonForwarded
 		return
 	}
@@ -91,7 +91,7 @@
 	if count <= 0 {
 		return
 	}
-	if p.ownShards && !p.c.isStarved(pending.job) {
+	if p.ownShards {
 		p.c.forwardJob(pending, false)
 	}
 	p.c.provisioner.unmetDemands = append(p.c.provisioner.unmetDemands,
--- a/internal/controller/worker_restarts.go
+++ b/internal/controller/worker_restarts.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"lilacrill/internal/record"
 	"lilacrill/wire"
 )
 
@@ -59,9 +58,7 @@
 		return true
 	case machine.awaitsRestartFence():
 		return c.cache.token < machine.restart.fence && !machine.sentAfterRestart(heartbeat)
-	case c.takesOverAddress(heartbeat):
-		c.fleet.noteAddress(heartbeat.Addr, machine.id)
-		c.fenceWorker(machine)
+	case c.noteTakenOverAddress(heartbeat):
 		return true
 	case !machine.mayHaveRestarted(heartbeat):
 		return false
@@ -106,10 +103,10 @@
 	c.fenceWorker(machine)
 }
 
-// noteRestartSeenByPeer notes a restart that a gossiped heartbeat shows: it seems older than what is
-// known, and yet its worker had seen a higher token.
+// noteRestartSeenByPeer notes a restart that a heartbeat shows which seems older than the latest one, if
+// its worker had yet seen a higher token.
 func (c *Controller) noteRestartSeenByPeer(machine *machine, heartbeat *wire.Heartbeat) {
-	if known := machine.latestHeartbeat; !machine.awaitsRestartFence() && !machine.newer(heartbeat, known) && heartbeat.Token > known.Token {
+	if !machine.awaitsRestartFence() && heartbeat.Token > machine.latestHeartbeat.Token {
 		machine.restart.fence = heartbeat.Token
 	}
 }
@@ -132,19 +129,15 @@
 	c.fleet.raisingRestartFence = true
 	fence := c.cache.token + 1
 	fenced := slices.Clone(c.fleet.restartedWorkers)
-	c.commit(PriorityUrgent, wire.Transaction{
-		If:   []wire.Condition{{Key: record.FencingTokenKey, Version: c.cache.keyVersions[record.FencingTokenKey]}},
-		Then: []wire.Change{c.putChange(record.FencingTokenKey, fence)},
-	}, func(result CommitResult) {
+	c.commitTokenRaise(PriorityUrgent, func(result CommitResult) {
 		c.fleet.raisingRestartFence = false
-		if result.Outcome == Succeeded {
-			for _, machine := range fenced {
-				machine.restart = workerRestart{fence: fence}
-			}
-			c.fleet.restartedWorkers = slices.Clone(c.fleet.restartedWorkers[len(fenced):])
-		} else {
+		if result.Outcome != Succeeded {
 			c.fleet.nextRestartFence = c.now.Add(commitRetryDelay)
+			return
 		}
-		c.refreshCache()
+		for _, machine := range fenced {
+			machine.restart = workerRestart{fence: fence}
+		}
+		c.fleet.restartedWorkers = slices.Clone(c.fleet.restartedWorkers[len(fenced):])
 	})
 }
--- a/internal/simulation/late_copies_test.go
+++ b/internal/simulation/late_copies_test.go
@@ -135,6 +135,18 @@
 		Commands: []wire.Command{{Verb: wire.VerbLaunch, Task: task.id, Attempt: task.attempt}}}}
 }
 
+// requireCopyRefused requires that the worker of a machine was answered, refuses a copy of the launch, and
+// that the task then runs once.
+func (l *launchedTask) requireCopyRefused(t *testing.T, machine *fakeMachine, seed uint64) {
+	t.Helper()
+	require.Positive(t, machine.token, "seed %d: the worker was not answered", seed)
+	require.False(t, machine.handleCommands(l.launch).Executed, "seed %d: the copy was carried out", seed)
+	l.cluster.FaultsOverAt = l.cluster.Now()
+	l.cluster.Run(maxStarvation)
+	require.Len(t, l.cluster.jobs[l.spec.ID].active(), 1, "seed %d", seed)
+	require.Empty(t, l.cluster.Violations, "seed %d", seed)
+}
+
 // TestLateCopyReachesRestartedWorker guards against a copy of a launch that takes effect at a worker
 // that has restarted, whatever became of the task in between.
 func TestLateCopyReachesRestartedWorker(t *testing.T) {
@@ -178,12 +190,7 @@
 		cluster.At(100*time.Millisecond, func() { cluster.injectStoreOutage(6 * time.Second) })
 		cluster.At(200*time.Millisecond, machine.restartWorker)
 		cluster.Run(15 * time.Second)
-		require.Positive(t, machine.token, "seed %d: the worker was not answered", seed)
-		require.False(t, machine.handleCommands(launched.launch).Executed, "seed %d: the copy was carried out", seed)
-		cluster.FaultsOverAt = cluster.Now()
-		cluster.Run(maxStarvation)
-		require.Len(t, cluster.jobs[launched.spec.ID].active(), 1, "seed %d", seed)
-		require.Empty(t, cluster.Violations, "seed %d", seed)
+		launched.requireCopyRefused(t, machine, seed)
 	}
 }
 
@@ -197,12 +204,7 @@
 		next := cluster.AddMachine(machineTypes[0], machine.zone, false, time.Second)
 		next.setAddr(machine.addr)
 		cluster.Run(6 * time.Second)
-		require.Positive(t, next.token, "seed %d: the next machine was not answered", seed)
-		require.False(t, next.handleCommands(launched.launch).Executed, "seed %d: the copy was carried out", seed)
-		cluster.FaultsOverAt = cluster.Now()
-		cluster.Run(maxStarvation)
-		require.Len(t, cluster.jobs[launched.spec.ID].active(), 1, "seed %d", seed)
-		require.Empty(t, cluster.Violations, "seed %d", seed)
+		launched.requireCopyRefused(t, next, seed)
 	}
 }
 
